--- /dev/null
+++ b/foxtail-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tools over the stand-ins.
--- /dev/null
+++ b/foxtail-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership: hosts, what peers see of each other, and drains.
--- /dev/null
+++ b/foxtail-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The host process assembled: caller side, upstream side, peers and operators.
--- /dev/null
+++ b/foxtail-place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement: which entry hosts a block of clients should use.
--- /dev/null
+++ b/foxtail-retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retries, hedges and crash suspects.
--- /dev/null
+++ b/foxtail-route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing: which region and upstream serve a request.
--- /dev/null
+++ b/foxtail-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, upstreams and network, for tests and experiments.
--- /dev/null
+++ b/foxtail-sync/src/lib.rs
@@ -0,0 +1,1 @@
+//! Spread of configuration from the platform to every host.
--- /dev/null
+++ b/foxtail-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Services between hosts (tarpc) and towards operators (jsonrpsee).
--- /dev/null
+++ b/foxtailctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
