feat: platform stand-in and HTTP adapters

The stand-in keeps table, objects and host list in memory, with faults (down, slow, lost replies, lagging list, rates) that apply in process and over HTTP alike. The adapters tell apart what was not done from what may have been. Row values travel as base64; a refusal by rate is its own error.

--- a/foxtail-platform/src/lib.rs
+++ b/foxtail-platform/src/lib.rs
@@ -1,6 +1,8 @@
 //! Ports to the platform: table, object store and host list, with HTTP adapters.
 
+mod base64_bytes;
 pub mod hosts;
+pub mod http;
 pub mod objects;
 pub mod proto;
 pub mod table;
--- a/foxtail-platform/src/table.rs
+++ b/foxtail-platform/src/table.rs
@@ -36,6 +36,7 @@
     /// Raised by every write of the row.
     pub version: u64,
     /// The value.
+    #[serde(with = "crate::base64_bytes")]
     pub value: Vec<u8>,
 }
 
@@ -75,7 +76,7 @@
     /// Leaves the row as it is: only the precondition counts.
     Keep,
     /// Sets the value.
-    Put(Vec<u8>),
+    Put(#[serde(with = "crate::base64_bytes")] Vec<u8>),
     /// Deletes the row.
     Delete,
 }
@@ -105,6 +106,9 @@
     /// The service answered that it can't now.
     #[error("the table service is unavailable: {0}")]
     Unavailable(String),
+    /// The service answered that its rate is exceeded; nothing was done.
+    #[error("the table service's rate is exceeded")]
+    Throttled,
     /// No answer in time.
     #[error("the table service did not answer in time")]
     TimedOut,
--- /dev/null
+++ b/foxtail-standin/src/platform/ports.rs
@@ -0,0 +1,88 @@
+//! The platform in process: its ports without HTTP between.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use foxtail_platform::table::{Error, Options, Outcome, Row, Table, Txn};
+use foxtail_platform::{HostEntry, HostList, Objects, hosts, objects};
+use foxtail_types::prelude::*;
+
+use super::memory::{Platform, Refusal};
+
+/// The ports of a platform in the same process.
+#[derive(Clone)]
+pub struct Local {
+    platform: Arc<Platform>,
+}
+
+impl Local {
+    /// The ports of `platform`.
+    pub fn new(platform: Arc<Platform>) -> Self {
+        Self { platform }
+    }
+}
+
+#[async_trait]
+impl Table for Local {
+    async fn commit(&self, txn: &Txn, options: Options) -> Outcome {
+        match within(options.timeout, self.platform.commit(txn.clone())).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(Refusal::ReplyLost)) => Outcome::Ambiguous(error(Refusal::ReplyLost)),
+            Ok(Err(refusal)) => Outcome::Failed(error(refusal)),
+            Err(e) => Outcome::Ambiguous(e),
+        }
+    }
+
+    async fn read(&self, keys: &[String], options: Options) -> Result<Vec<Option<Row>>, Error> {
+        within(options.timeout, self.platform.read(keys)).await?.map_err(error)
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+        options: Options,
+    ) -> Result<Vec<(String, Row)>, Error> {
+        let scan = self.platform.scan(prefix, after, limit);
+        within(options.timeout, scan).await?.map_err(error)
+    }
+}
+
+#[async_trait]
+impl Objects for Local {
+    async fn put(&self, name: &str, value: Vec<u8>, timeout: Millis) -> Result<(), objects::Error> {
+        let done = within(timeout, self.platform.put(name, value)).await;
+        done.map_err(|_| objects::Error::TimedOut)?.map_err(object_error)
+    }
+
+    async fn get(&self, name: &str, timeout: Millis) -> Result<Option<Vec<u8>>, objects::Error> {
+        let done = within(timeout, self.platform.get(name)).await;
+        done.map_err(|_| objects::Error::TimedOut)?.map_err(object_error)
+    }
+}
+
+#[async_trait]
+impl HostList for Local {
+    async fn list(&self, timeout: Millis) -> Result<Vec<HostEntry>, hosts::Error> {
+        let done = within(timeout, self.platform.list()).await;
+        let done = done.map_err(|e| hosts::Error(e.to_string()))?;
+        done.map_err(|refusal| hosts::Error(format!("{refusal:?}")))
+    }
+}
+
+async fn within<T>(timeout: Millis, f: impl Future<Output = T>) -> Result<T, Error> {
+    tokio::time::timeout(timeout.duration(), f).await.map_err(|_| Error::TimedOut)
+}
+
+fn error(refusal: Refusal) -> Error {
+    match refusal {
+        Refusal::Throttled => Error::Throttled,
+        refusal => Error::Unavailable(format!("{refusal:?}")),
+    }
+}
+
+fn object_error(refusal: Refusal) -> objects::Error {
+    objects::Error::Unavailable(format!("{refusal:?}"))
+}
