feat: at-most-once gate over claim rows with group commit

A claim is committed under the precondition that its key is free and is never taken over. Writes are committed many to a transaction at a pace that a token bucket sets; a write of unknown fate is settled by finding its own token. A fence row keeps collected keys from running again whatever the wall clocks say. A peer can gather the writes of others.

--- /dev/null
+++ b/foxtail-once/src/claims/live.rs
@@ -0,0 +1,110 @@
+//! The attempts of this host, in shards with a lock each.
+
+use std::collections::HashMap;
+use std::collections::hash_map::{DefaultHasher, Entry};
+use std::hash::{Hash, Hasher};
+
+use foxtail_types::prelude::*;
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use crate::{Answer, Attempt, Fingerprint};
+
+/// How many locks there are.
+const SHARDS: usize = 16;
+
+/// A key of a workspace.
+pub(super) type Id = (WorkspaceId, Key);
+
+/// The attempts of this host that are not over.
+pub(super) struct Live {
+    shards: Vec<Mutex<HashMap<Id, Attempted>>>,
+}
+
+/// One attempt.
+#[derive(Clone)]
+pub(super) struct Attempted {
+    pub(super) print: Fingerprint,
+    pub(super) token: u64,
+    pub(super) phase: Phase,
+    /// Cancelled when the attempt has moved on.
+    pub(super) moved: CancellationToken,
+}
+
+/// How far an attempt has come on this host.
+#[derive(Clone)]
+pub(super) enum Phase {
+    /// The claim is being written.
+    Claiming,
+    /// The claim is committed and the attempt not ended.
+    Open(Attempt),
+    /// The answer is there, its record not yet.
+    Answered(Answer),
+}
+
+impl Live {
+    pub(super) fn new() -> Self {
+        Self { shards: (0..SHARDS).map(|_| Mutex::default()).collect() }
+    }
+
+    /// Registers an attempt, unless there is one for its key: then gives that.
+    pub(super) fn enter(&self, id: &Id, print: Fingerprint, token: u64) -> Option<Attempted> {
+        match self.shard(id).lock().entry(id.clone()) {
+            Entry::Occupied(entry) => Some(entry.get().clone()),
+            Entry::Vacant(entry) => {
+                let moved = CancellationToken::new();
+                entry.insert(Attempted { print, token, phase: Phase::Claiming, moved });
+                None
+            }
+        }
+    }
+
+    /// Moves the attempt `token` on, and wakes who waits for it; whether it was there.
+    pub(super) fn advance(&self, id: &Id, token: u64, phase: Phase) -> bool {
+        let mut shard = self.shard(id).lock();
+        let Some(entry) = shard.get_mut(id).filter(|entry| entry.token == token) else {
+            return false;
+        };
+        entry.phase = phase;
+        std::mem::take(&mut entry.moved).cancel();
+        true
+    }
+
+    /// Ends the attempt `token`, and wakes who waits for it.
+    pub(super) fn remove(&self, id: &Id, token: u64) -> Option<Attempted> {
+        let mut shard = self.shard(id).lock();
+        if shard.get(id)?.token != token {
+            return None;
+        }
+        let entry = shard.remove(id)?;
+        entry.moved.cancel();
+        Some(entry)
+    }
+
+    /// The phase of the attempt `token`.
+    pub(super) fn phase(&self, id: &Id, token: u64) -> Option<Phase> {
+        let shard = self.shard(id).lock();
+        shard.get(id).filter(|entry| entry.token == token).map(|entry| entry.phase.clone())
+    }
+
+    /// The open attempts whose deadline was before `by`.
+    pub(super) fn overdue(&self, by: Millis) -> Vec<(Id, Attempt)> {
+        let mut found = Vec::new();
+        for shard in &self.shards {
+            for (id, entry) in shard.lock().iter() {
+                if let Phase::Open(attempt) = &entry.phase
+                    && attempt.deadline < by
+                {
+                    found.push((id.clone(), attempt.clone()));
+                }
+            }
+        }
+        found
+    }
+
+    fn shard(&self, id: &Id) -> &Mutex<HashMap<Id, Attempted>> {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        &self.shards[hasher.finish() as usize % SHARDS]
+    }
+}
--- /dev/null
+++ b/foxtail-once/src/collect.rs
@@ -0,0 +1,133 @@
+//! Deleting the rows of keys that are too old to be sent again.
+
+use std::sync::Arc;
+
+use foxtail_platform::table::{
+    Change, Error, Expect, Options as TableOptions, Outcome, Priority, Table, Txn, Write,
+};
+use foxtail_types::prelude::*;
+use rand::Rng;
+use tokio_util::sync::CancellationToken;
+
+use crate::commit::{FENCE, Fence};
+use crate::record::{ROWS, row_born};
+
+/// How rows are collected.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// How old a key may be; the same as that of the claims.
+    pub retention: Millis,
+    /// How much longer its row is kept, for wall clocks that differ.
+    pub margin: Millis,
+    /// How far the fence moves at a time.
+    pub step: Millis,
+    /// How many rows are deleted in one transaction.
+    pub rows: usize,
+    /// The wait between two transactions.
+    pub pause: Millis,
+    /// How long one call may take.
+    pub timeout: Millis,
+}
+
+/// Collects old rows. Any host may: who moves the fence first deletes what is below it.
+pub struct Collector {
+    table: Arc<dyn Table>,
+    clock: Arc<dyn Clock>,
+    options: Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            retention: Millis::secs(24 * 3_600),
+            margin: Millis::secs(3_600),
+            step: Millis::secs(600),
+            rows: 200,
+            pause: Millis(500),
+            timeout: Millis(5_000),
+        }
+    }
+}
+
+impl Collector {
+    /// A collector over `table`.
+    pub fn new(table: Arc<dyn Table>, clock: Arc<dyn Clock>, options: Options) -> Self {
+        Self { table, clock, options }
+    }
+
+    /// Collects until `stop`.
+    pub async fn run(&self, stop: CancellationToken) {
+        let step = self.options.step.0;
+        loop {
+            let wait = Millis(rand::rng().random_range(step / 2..=step));
+            let slept = stop.run_until_cancelled(tokio::time::sleep(wait.duration())).await;
+            if slept.is_none() {
+                return;
+            }
+            match stop.run_until_cancelled(self.round()).await {
+                None => return,
+                Some(Ok(rows)) => tracing::info!(event = "once_collected", rows),
+                Some(Err(e)) => tracing::warn!(event = "once_collect_failed", error = %e),
+            }
+        }
+    }
+
+    /// Moves the fence if it is time, and deletes what is below; how many rows.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] of the table; what is left over is deleted in a later round.
+    pub async fn round(&self) -> Result<usize, Error> {
+        let found = self.table.read(&[FENCE.to_owned()], self.call()).await?;
+        let fence = Fence::read(found.first().and_then(Option::as_ref));
+        let below = self.clock.wall() - self.options.retention - self.options.margin;
+        if below < fence.below() + self.options.step {
+            return Ok(0);
+        }
+        let raise = Txn { writes: vec![fence.raise(below)] };
+        match self.table.commit(&raise, self.call()).await {
+            Outcome::Committed(_) => self.delete(below).await,
+            Outcome::Conflict { .. } => Ok(0),
+            Outcome::Failed(e) | Outcome::Ambiguous(e) => Err(e),
+        }
+    }
+
+    /// Deletes rows of keys born before `below`, which the committed fence excludes.
+    async fn delete(&self, below: Millis) -> Result<usize, Error> {
+        let mut deleted = 0;
+        let mut after = String::new();
+        loop {
+            let rows = self.table.scan(ROWS, &after, self.options.rows, self.call()).await?;
+            let Some((last, _)) = rows.last() else { return Ok(deleted) };
+            after = last.clone();
+            let old = rows.iter().filter(|(key, _)| row_born(key).is_none_or(|born| born < below));
+            let writes: Vec<_> = old.map(|(key, _)| delete(key)).collect();
+            let done = writes.len() < rows.len();
+            deleted += self.commit(writes).await?;
+            if done {
+                return Ok(deleted);
+            }
+            tokio::time::sleep(self.options.pause.duration()).await;
+        }
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<usize, Error> {
+        let rows = writes.len();
+        if rows == 0 {
+            return Ok(0);
+        }
+        match self.table.commit(&Txn { writes }, self.call()).await {
+            Outcome::Committed(_) => Ok(rows),
+            Outcome::Conflict { .. } => Ok(0),
+            Outcome::Failed(e) | Outcome::Ambiguous(e) => Err(e),
+        }
+    }
+
+    fn call(&self) -> TableOptions {
+        TableOptions { priority: Priority::Housekeeping, timeout: self.options.timeout }
+    }
+}
+
+fn delete(key: &str) -> Write {
+    Write { key: key.to_owned(), expect: Expect::Any, change: Change::Delete }
+}
--- a/foxtail-once/src/gate.rs
+++ b/foxtail-once/src/gate.rs
@@ -9,18 +9,12 @@
 pub trait Gate: Send + Sync {
     /// Claims `key` for one attempt, or tells what is known of an earlier one.
     ///
-    /// Returns by `deadline`. After [`Begin::Run`] the caller must end the attempt with one of the
+    /// Returns by the deadline. After [`Begin::Run`] the caller must end the attempt with one of the
     /// other calls; an attempt that is dropped counts as possibly run.
-    async fn begin(
-        &self,
-        workspace: &WorkspaceId,
-        key: Key,
-        print: Fingerprint,
-        deadline: Millis,
-    ) -> Begin;
+    async fn begin(&self, ask: Ask<'_>) -> Begin;
 
-    /// Ends the attempt with the upstream's answer. Returns when it is recorded or the time for
-    /// that has run out; recording goes on in the background until it is done.
+    /// Ends the attempt with the upstream's answer. It is recorded in the background, so that the
+    /// answer can be passed on at once.
     async fn answered(&self, attempt: Attempt, answer: Answer);
 
     /// Ends the attempt with proof that no upstream ran it.
@@ -29,10 +23,27 @@
     /// Ends the attempt without knowledge: it may have run.
     async fn lost(&self, attempt: Attempt);
 
-    /// Whether the attempt may still be sent now: its host was not paused past what it may rely on.
+    /// Whether the attempt may still be sent now: its deadline has not passed, also while the host
+    /// was paused, and it has not been ended. To be asked right before sending.
     fn may_send(&self, attempt: &Attempt) -> bool;
 }
 
+/// A request that may not be repeated, as it asks to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The workspace.
+    pub workspace: &'a WorkspaceId,
+    /// The caller's key.
+    pub key: Key,
+    /// What the request is.
+    pub print: Fingerprint,
+    /// Whether the caller says that it sent this key before. With the store out of reach, such a
+    /// request is unknown rather than not run: its earlier sending may have run.
+    pub resent: bool,
+    /// When the caller stops waiting, by the boot clock.
+    pub deadline: Millis,
+}
+
 /// What identifies a request besides its key: workspace, service, method, path and body.
 #[id]
 #[serde(transparent)]
@@ -53,6 +64,29 @@
     Refused(Reason),
 }
 
+impl Begin {
+    /// The name in logs.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Begin::Run(_) => "run",
+            Begin::Replay(_) => "replay",
+            Begin::NotRun(..) => "not-run",
+            Begin::Unknown(..) => "unknown",
+            Begin::Refused(_) => "refused",
+        }
+    }
+
+    /// Why the request may not run now.
+    pub const fn reason(&self) -> Option<Reason> {
+        match self {
+            Begin::Run(_) | Begin::Replay(_) => None,
+            Begin::NotRun(reason, _) | Begin::Unknown(reason, _) | Begin::Refused(reason) => {
+                Some(*reason)
+            }
+        }
+    }
+}
+
 /// The right to send a request once.
 #[value]
 pub struct Attempt {
@@ -60,12 +94,16 @@
     pub workspace: WorkspaceId,
     /// The caller's key.
     pub key: Key,
+    /// What the request is.
+    pub print: Fingerprint,
     /// This attempt's own token.
     pub token: u64,
     /// The version of the claim's row.
     pub row: u64,
-    /// When the caller stops waiting.
+    /// When the caller stops waiting, by the boot clock.
     pub deadline: Millis,
+    /// When the attempt is over whatever happens, by the wall clock.
+    pub ends: Millis,
 }
 
 /// An upstream's whole answer.
--- /dev/null
+++ b/foxtail-once/tests/support/mod.rs
@@ -0,0 +1,90 @@
+//! A clock on virtual time, and hosts over a platform in the same process.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use foxtail_once::{Answer, Ask, Claims, Commit, Fingerprint, Group, claims, commit};
+use foxtail_platform::Table;
+use foxtail_standin::platform::{Local, Platform};
+use foxtail_types::prelude::*;
+use tokio::time::Instant;
+
+/// Wall time at the start of a test.
+pub const WALL: Millis = Millis(1_800_000_000_000);
+
+pub struct TokioClock {
+    start: Instant,
+    wall: Millis,
+}
+
+impl TokioClock {
+    pub fn start(wall: Millis) -> Arc<Self> {
+        Arc::new(Self { start: Instant::now(), wall })
+    }
+}
+
+impl Clock for TokioClock {
+    fn now(&self) -> Millis {
+        self.start.elapsed().into()
+    }
+
+    fn wall(&self) -> Millis {
+        self.wall + self.now()
+    }
+}
+
+pub struct Host {
+    pub claims: Arc<Claims>,
+    pub group: Arc<Group>,
+    pub clock: Arc<dyn Clock>,
+}
+
+pub fn host(name: &str, platform: &Arc<Platform>, clock: Arc<dyn Clock>) -> Host {
+    let local = Local::new(Arc::clone(platform));
+    host_over(name, Arc::new(local.clone()), local, clock, commit::Options::default())
+}
+
+pub fn host_over(
+    name: &str,
+    table: Arc<dyn Table>,
+    local: Local,
+    clock: Arc<dyn Clock>,
+    options: commit::Options,
+) -> Host {
+    let group = Group::start(Arc::clone(&table), Arc::clone(&clock), options);
+    let commit = Arc::clone(&group) as Arc<dyn Commit>;
+    let objects = Arc::new(local);
+    let ports = claims::Ports { clock: Arc::clone(&clock), table, objects, commit };
+    let me = HostId::new(name).unwrap();
+    let claims = Claims::start(me, ports, claims::Options::default());
+    Host { claims, group, clock }
+}
+
+/// A key born at `born`; `n` tells keys of the same time apart.
+pub fn key(born: Millis, n: u64) -> Key {
+    let stamp =
+        uuid::Timestamp::from_unix_time(born.0 / 1_000, (born.0 % 1_000) as u32 * 1_000_000, 0, 0);
+    let mut bytes = *uuid::Uuid::new_v7(stamp).as_bytes();
+    bytes[8..].copy_from_slice(&(n | 0x8000_0000_0000_0000).to_be_bytes());
+    bytes[6..8].copy_from_slice(&[0x70, 0]);
+    uuid::Uuid::from_bytes(bytes).to_string().parse().unwrap()
+}
+
+pub fn workspace() -> WorkspaceId {
+    WorkspaceId::new("tali").unwrap()
+}
+
+pub fn ask(workspace: &WorkspaceId, key: Key, deadline: Millis) -> Ask<'_> {
+    Ask { workspace, key, print: Fingerprint([1; 32]), resent: false, deadline }
+}
+
+pub fn answer(bytes: usize) -> Answer {
+    let body = vec![7; bytes];
+    Answer {
+        status: 201,
+        headers: Vec::new(),
+        body: Some(body),
+        digest: [0; 32],
+        size: bytes as u64,
+    }
+}
