--- a/foxtail-once/tests/support/mod.rs
+++ b/foxtail-once/tests/support/mod.rs
@@ -10,15 +10,15 @@
 use tokio::time::Instant;
 
 /// Wall time at the start of a test.
-pub const WALL: Millis = Millis(1_800_000_000_000);
+pub(crate) const WALL: Millis = Millis(1_800_000_000_000);
 
-pub struct TokioClock {
+pub(crate) struct TokioClock {
     start: Instant,
     wall: Millis,
 }
 
 impl TokioClock {
-    pub fn start(wall: Millis) -> Arc<Self> {
+    pub(crate) fn start(wall: Millis) -> Arc<Self> {
         Arc::new(Self { start: Instant::now(), wall })
     }
 }
@@ -33,18 +33,18 @@
     }
 }
 
-pub struct Host {
-    pub claims: Arc<Claims>,
-    pub group: Arc<Group>,
-    pub clock: Arc<dyn Clock>,
+pub(crate) struct Host {
+    pub(crate) claims: Arc<Claims>,
+    pub(crate) group: Arc<Group>,
+    pub(crate) clock: Arc<dyn Clock>,
 }
 
-pub fn host(name: &str, platform: &Arc<Platform>, clock: Arc<dyn Clock>) -> Host {
+pub(crate) fn host(name: &str, platform: &Arc<Platform>, clock: Arc<dyn Clock>) -> Host {
     let local = Local::new(Arc::clone(platform));
     host_over(name, Arc::new(local.clone()), local, clock, commit::Options::default())
 }
 
-pub fn host_over(
+pub(crate) fn host_over(
     name: &str,
     table: Arc<dyn Table>,
     local: Local,
@@ -61,7 +61,7 @@
 }
 
 /// A key born at `born`; `n` tells keys of the same time apart.
-pub fn key(born: Millis, n: u64) -> Key {
+pub(crate) fn key(born: Millis, n: u64) -> Key {
     let stamp =
         uuid::Timestamp::from_unix_time(born.0 / 1_000, (born.0 % 1_000) as u32 * 1_000_000, 0, 0);
     let mut bytes = *uuid::Uuid::new_v7(stamp).as_bytes();
@@ -70,15 +70,15 @@
     uuid::Uuid::from_bytes(bytes).to_string().parse().unwrap()
 }
 
-pub fn workspace() -> WorkspaceId {
+pub(crate) fn workspace() -> WorkspaceId {
     WorkspaceId::new("tali").unwrap()
 }
 
-pub fn ask(workspace: &WorkspaceId, key: Key, deadline: Millis) -> Ask<'_> {
+pub(crate) fn ask(workspace: &WorkspaceId, key: Key, deadline: Millis) -> Ask<'_> {
     Ask { workspace, key, print: Fingerprint([1; 32]), resent: false, deadline }
 }
 
-pub fn answer(bytes: usize) -> Answer {
+pub(crate) fn answer(bytes: usize) -> Answer {
     let body = vec![7; bytes];
     Answer {
         status: 201,
