--- /dev/null
+++ b/foxtail-platform/src/guard/mod.rs
@@ -0,0 +1,194 @@
+//! A table behind this host's share of the store's budget and a circuit breaker.
+//!
+//! Two buckets, for writes and for reads, hold the host's share. A call whose bucket is low waits,
+//! and the less important it is, the more must be left before it may go. When the store says that
+//! its rate is exceeded, the share shrinks, and grows back slowly. After failures in a row the
+//! store is left alone; then one call probes it, at a time that differs from host to host, and the
+//! share starts small and grows, so that the hosts do not come back all at once.
+
+mod breaker;
+mod budget;
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use foxtail_types::prelude::*;
+use parking_lot::Mutex;
+use rand::Rng;
+
+pub use breaker::{Breaker, Pass};
+pub use budget::{Budget, Rate};
+
+use crate::table::{Error, Options as CallOptions, Outcome, Row, Table, Txn};
+
+/// This host's share of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Transactions.
+    pub writes: Rate,
+    /// Reads and scans.
+    pub reads: Rate,
+}
+
+/// A table behind a budget and a breaker.
+pub struct Guard {
+    inner: Arc<dyn Table>,
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+}
+
+struct State {
+    writes: Budget,
+    reads: Budget,
+    breaker: Breaker,
+}
+
+/// How a call ended, as far as the guard is concerned.
+enum End {
+    Answered,
+    Throttled,
+    Failed,
+}
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Write,
+    Read,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { writes: Rate { per_s: 20, burst: 20 }, reads: Rate { per_s: 100, burst: 100 } }
+    }
+}
+
+impl Guard {
+    /// A guard of `inner`.
+    pub fn new(inner: Arc<dyn Table>, clock: Arc<dyn Clock>, options: Options) -> Arc<Self> {
+        let now = clock.now();
+        let state = State {
+            writes: Budget::new(options.writes, now),
+            reads: Budget::new(options.reads, now),
+            breaker: Breaker::new(),
+        };
+        Arc::new(Self { inner, clock, state: Mutex::new(state) })
+    }
+
+    /// Sets the share, when the number of live hosts changes.
+    pub fn set_share(&self, options: Options) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.writes.set_rate(options.writes, now);
+        state.reads.set_rate(options.reads, now);
+    }
+
+    /// Whether recent calls failed, so that the store is left alone.
+    pub fn is_open(&self) -> bool {
+        self.state.lock().breaker.is_open()
+    }
+
+    /// Waits until the call may go; then its pass and how much of its time is left.
+    async fn admit(&self, kind: Kind, options: CallOptions) -> Result<(Pass, CallOptions), Error> {
+        let start = self.clock.now();
+        loop {
+            let now = self.clock.now();
+            let spent = now.since(start);
+            let wait = {
+                let mut state = self.state.lock();
+                if !state.breaker.may_pass(now) {
+                    return Err(Error::CircuitOpen);
+                }
+                match state.budget(kind).take(options.priority, now) {
+                    Ok(()) => {
+                        let pass = state.breaker.pass(now);
+                        return Ok((
+                            pass,
+                            CallOptions { timeout: options.timeout - spent, ..options },
+                        ));
+                    }
+                    Err(wait) => wait,
+                }
+            };
+            if spent + wait >= options.timeout {
+                return Err(Error::BudgetSpent);
+            }
+            tokio::time::sleep(wait.duration()).await;
+        }
+    }
+
+    fn end(&self, kind: Kind, pass: Pass, end: End) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        match end {
+            End::Answered => {
+                if state.breaker.succeeded(pass) {
+                    state.writes.restart(now);
+                    state.reads.restart(now);
+                }
+            }
+            End::Throttled => {
+                state.breaker.succeeded(pass);
+                state.budget(kind).shrink(now);
+            }
+            End::Failed => {
+                let jitter = rand::rng().random_range(500..=1_000);
+                if state.breaker.failed(pass, now, jitter) {
+                    tracing::warn!(event = "store_circuit_open");
+                }
+            }
+        }
+    }
+}
+
+impl State {
+    fn budget(&mut self, kind: Kind) -> &mut Budget {
+        match kind {
+            Kind::Write => &mut self.writes,
+            Kind::Read => &mut self.reads,
+        }
+    }
+}
+
+#[async_trait]
+impl Table for Guard {
+    async fn commit(&self, txn: &Txn, options: CallOptions) -> Outcome {
+        let (pass, options) = match self.admit(Kind::Write, options).await {
+            Ok(admitted) => admitted,
+            Err(e) => return Outcome::Failed(e),
+        };
+        let outcome = self.inner.commit(txn, options).await;
+        let end = match &outcome {
+            Outcome::Committed(_) | Outcome::Conflict { .. } => End::Answered,
+            Outcome::Failed(e) | Outcome::Ambiguous(e) => end_of(e),
+        };
+        self.end(Kind::Write, pass, end);
+        outcome
+    }
+
+    async fn read(&self, keys: &[String], options: CallOptions) -> Result<Vec<Option<Row>>, Error> {
+        let (pass, options) = self.admit(Kind::Read, options).await?;
+        let rows = self.inner.read(keys, options).await;
+        self.end(Kind::Read, pass, rows.as_ref().map_or_else(end_of, |_| End::Answered));
+        rows
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+        options: CallOptions,
+    ) -> Result<Vec<(String, Row)>, Error> {
+        let (pass, options) = self.admit(Kind::Read, options).await?;
+        let rows = self.inner.scan(prefix, after, limit, options).await;
+        self.end(Kind::Read, pass, rows.as_ref().map_or_else(end_of, |_| End::Answered));
+        rows
+    }
+}
+
+fn end_of(e: &Error) -> End {
+    match e {
+        Error::Throttled => End::Throttled,
+        _ => End::Failed,
+    }
+}
