--- a/foxtail-once/src/claims/begin.rs
+++ b/foxtail-once/src/claims/begin.rs
@@ -181,8 +181,8 @@
                 Next::End(begin) => return Err(begin),
                 Next::Poll => {}
             }
-            let jittered = Millis(rand::rng().random_range(wait.0 / 2..=wait.0));
-            tokio::time::sleep(jittered.min(self.left(ask)).duration()).await;
+            let jittered = self.jitter.up_to(wait).max(wait.duration() / 2);
+            tokio::time::sleep(jittered.min(self.left(ask).duration())).await;
             if self.now() >= ask.deadline {
                 return Err(Begin::Unknown(Reason::KeyInFlight, IN_FLIGHT_RETRY));
             }
--- a/foxtail-once/src/claims/end.rs
+++ b/foxtail-once/src/claims/end.rs
@@ -5,7 +5,6 @@
 
 use foxtail_platform::table::{Change, Expect, Write};
 use foxtail_types::prelude::*;
-use rand::Rng;
 
 use super::Inner;
 use super::live::{Id, Phase};
@@ -74,8 +73,7 @@
                     false => return,
                 },
                 Done::Failed(_) => {
-                    let wait = rand::rng().random_range(0..=backoff.0);
-                    tokio::time::sleep(Millis(wait).duration()).await;
+                    tokio::time::sleep(self.jitter.up_to(backoff)).await;
                     backoff = (backoff * 2).min(BACKOFF.1);
                 }
             }
--- a/foxtail-once/src/claims/mod.rs
+++ b/foxtail-once/src/claims/mod.rs
@@ -16,6 +16,7 @@
 use tokio_util::task::TaskTracker;
 
 use self::live::{Live, Phase};
+use crate::jitter::Jitter;
 use crate::record::State;
 use crate::{Answer, Ask, Attempt, Begin, Commit, Gate};
 
@@ -39,6 +40,8 @@
     pub pending_max_bytes: u64,
     /// The first and the longest wait between two looks at another attempt's row.
     pub poll: (Millis, Millis),
+    /// The seed of random waits; each run has its own if there is none.
+    pub seed: Option<u64>,
 }
 
 /// What the claims of a host work with.
@@ -64,6 +67,7 @@
     ports: Ports,
     options: Options,
     live: Live,
+    jitter: Jitter,
     pending_bytes: AtomicU64,
     tasks: TaskTracker,
     stop: CancellationToken,
@@ -79,6 +83,7 @@
             object_body_max: 1 << 20,
             pending_max_bytes: 8 << 20,
             poll: (Millis(50), Millis(1_000)),
+            seed: None,
         }
     }
 }
@@ -91,6 +96,7 @@
             ports,
             options,
             live: Live::new(),
+            jitter: Jitter::new(options.seed),
             pending_bytes: AtomicU64::new(0),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
--- a/foxtail-once/src/commit/batch.rs
+++ b/foxtail-once/src/commit/batch.rs
@@ -1,15 +1,14 @@
 //! One transaction, from the first try until the fate of each of its writes is known.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use foxtail_platform::table::{self, Change, Error, Expect, Outcome, Priority, Row, Table, Txn};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
-use rand::Rng;
 use tokio::sync::oneshot;
 
 use super::{Done, Entry, Fence};
+use crate::jitter::Jitter;
 
 /// The first and the longest wait between two tries.
 const BACKOFF: (Millis, Millis) = (Millis(5), Millis(1_000));
@@ -26,6 +25,7 @@
 pub(super) struct Batch {
     pub(super) table: Arc<dyn Table>,
     pub(super) fence: Arc<Mutex<Fence>>,
+    pub(super) jitter: Arc<Jitter>,
     pub(super) timeout: Millis,
     pub(super) items: Vec<Item>,
 }
@@ -76,7 +76,7 @@
                 }
             }
             if !self.items.is_empty() {
-                wait(&mut backoff).await;
+                self.wait(&mut backoff).await;
             }
             if self.items.iter().any(|item| item.doubtful) {
                 self.read_back().await;
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Waits for a random part of `backoff`, and doubles it.
+    async fn wait(&self, backoff: &mut Millis) {
+        tokio::time::sleep(self.jitter.up_to(*backoff)).await;
+        *backoff = (*backoff * 2).min(BACKOFF.1);
+    }
+
     /// Reads all rows and settles the writes whose fate they show.
     async fn read_back(&mut self) {
         let keys: Vec<_> = self.items.iter().map(|item| item.entry.write.key.clone()).collect();
@@ -185,10 +191,3 @@
     *from = kept;
     out
 }
-
-/// Waits for a random part of `backoff`, and doubles it.
-async fn wait(backoff: &mut Millis) {
-    let micros = rand::rng().random_range(0..=backoff.0 * 1_000);
-    tokio::time::sleep(Duration::from_micros(micros)).await;
-    *backoff = (*backoff * 2).min(BACKOFF.1);
-}
--- a/foxtail-once/src/commit/group.rs
+++ b/foxtail-once/src/commit/group.rs
@@ -12,6 +12,7 @@
 use super::batch::{Batch, Item};
 use super::former::Former;
 use super::{Commit, Done, Entry, Fence, Pace};
+use crate::jitter::Jitter;
 
 /// How many writes may wait to be gathered.
 const QUEUE: usize = 8_192;
@@ -29,6 +30,8 @@
     pub company: Millis,
     /// How long one try may take before it counts as ambiguous.
     pub timeout: Millis,
+    /// The seed of random waits; each run has its own if there is none.
+    pub seed: Option<u64>,
 }
 
 /// Commits single writes, many to a transaction. Stop it with [`Group::stop`].
@@ -43,6 +46,7 @@
     table: Arc<dyn Table>,
     clock: Arc<dyn Clock>,
     fence: Arc<Mutex<Fence>>,
+    jitter: Arc<Jitter>,
     options: Options,
     former: Former,
     running: JoinSet<()>,
@@ -56,6 +60,7 @@
             in_flight_max: 32,
             company: Millis(100),
             timeout: Millis(2_000),
+            seed: None,
         }
     }
 }
@@ -69,6 +74,7 @@
         let worker = Worker {
             former: Former::new(options, clock.now()),
             fence: Arc::new(Mutex::new(Fence::start())),
+            jitter: Arc::new(Jitter::new(options.seed)),
             running: JoinSet::new(),
             table,
             clock,
@@ -133,6 +139,7 @@
             let due = self.due(draining);
             let now = self.clock.now();
             tokio::select! {
+                biased;
                 Some(item) = rx.recv() => self.gather(item, &mut rx),
                 () = sleep_until(due, now) => {}
                 Some(_) = self.running.join_next() => {}
@@ -169,6 +176,7 @@
             let batch = Batch {
                 table: Arc::clone(&self.table),
                 fence: Arc::clone(&self.fence),
+                jitter: Arc::clone(&self.jitter),
                 timeout: self.options.timeout,
                 items,
             };
--- a/foxtail-once/src/lib.rs
+++ b/foxtail-once/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod collect;
 pub mod commit;
 mod gate;
+mod jitter;
 pub mod record;
 pub mod relay;
 
--- a/foxtail-once/tests/support/mod.rs
+++ b/foxtail-once/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A clock on virtual time, and hosts over a platform in the same process.
 #![allow(dead_code)]
 
+pub(crate) mod naive;
+pub(crate) mod world;
+
 use std::sync::Arc;
 
 use foxtail_once::{Answer, Ask, Claims, Commit, Fingerprint, Group, claims, commit};
