--- /dev/null
+++ b/foxtail-once/tests/loopback.rs
@@ -0,0 +1,148 @@
+//! Hosts and the stand-in platform over loopback HTTP, with faults under load.
+
+mod support;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foxtail_net::TcpDial;
+use foxtail_once::{Begin, Claims, Commit, Gate, Group, claims, commit};
+use foxtail_platform::guard::{Guard, Options as Share, Rate};
+use foxtail_platform::http::{Call, HttpObjects, HttpTable};
+use foxtail_platform::{Objects, Table};
+use foxtail_standin::platform::{Down, Options, Platform, Rates, Server};
+use foxtail_time::BootClock;
+use foxtail_types::outcome::Reason;
+use foxtail_types::prelude::*;
+use parking_lot::Mutex;
+use support::{answer, ask, key, workspace};
+use tokio::task::JoinSet;
+
+const HOSTS: usize = 4;
+const REQUESTS: usize = 400;
+const SPACING: Duration = Duration::from_millis(5);
+const DEADLINE: Millis = Millis(1_500);
+
+/// Runs by key: the upstream's own count.
+type Runs = Arc<Mutex<HashMap<Key, usize>>>;
+
+fn start_host(server: &Server, i: usize) -> (Arc<Claims>, Arc<Group>) {
+    let call = Call::new(Arc::new(TcpDial), vec![server.addr()]);
+    let clock: Arc<dyn Clock> = Arc::new(BootClock);
+    let share =
+        Share { writes: Rate { per_s: 100, burst: 20 }, reads: Rate { per_s: 500, burst: 50 } };
+    let table = Arc::new(HttpTable::new(Arc::clone(&call)));
+    let table: Arc<dyn Table> = Guard::new(table, Arc::clone(&clock), share);
+    let objects: Arc<dyn Objects> = Arc::new(HttpObjects::new(call));
+    let options = commit::Options { timeout: Millis(300), ..commit::Options::default() };
+    let group = Group::start(Arc::clone(&table), Arc::clone(&clock), options);
+    let commit = Arc::clone(&group) as Arc<dyn Commit>;
+    let ports = claims::Ports { clock, table, objects, commit };
+    let options = claims::Options { grace: Millis(200), ..claims::Options::default() };
+    (Claims::start(HostId::new(&format!("h{i}")).unwrap(), ports, options), group)
+}
+
+/// One sending: claims, runs at the upstream, and ends the attempt unless the host is lost.
+async fn sending(gate: Arc<Claims>, k: Key, runs: Runs, n: usize) -> Begin {
+    let ws = workspace();
+    let ask = ask(&ws, k, BootClock.now() + DEADLINE);
+    let begin = gate.begin(foxtail_once::Ask { resent: n > 0, ..ask }).await;
+    if let Begin::Run(attempt) = &begin
+        && gate.may_send(attempt)
+    {
+        *runs.lock().entry(k).or_default() += 1;
+        tokio::time::sleep(Duration::from_millis(3)).await;
+        gate.answered(attempt.clone(), answer(10)).await;
+    }
+    begin
+}
+
+/// Asks until the outcome is definite.
+async fn definite(gate: &Claims, k: Key) -> Begin {
+    for _ in 0..40 {
+        let ws = workspace();
+        let ask = ask(&ws, k, BootClock.now() + DEADLINE);
+        let begin = gate.begin(foxtail_once::Ask { resent: true, ..ask }).await;
+        match begin {
+            Begin::Unknown(Reason::KeyInFlight | Reason::StoreUnavailable, _) => {
+                tokio::time::sleep(Duration::from_millis(250)).await;
+            }
+            begin => return begin,
+        }
+    }
+    panic!("no definite outcome for {k}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn outage_and_lost_replies_under_load() {
+    let rates = Rates { writes_per_s: 400, reads_per_s: 2_000, by_rows: false };
+    let platform = Platform::new(&Options { rates: Some(rates), seed: 3 });
+    let server = Server::start(Arc::clone(&platform)).await.unwrap();
+    let mut hosts: Vec<_> = (0..HOSTS).map(|i| start_host(&server, i)).collect();
+    let (runs, keys) = (Runs::default(), keys());
+    let mut tasks = JoinSet::new();
+    platform.fault(|f| f.lose_replies_per_mille = 200);
+    for (i, k) in keys.iter().enumerate() {
+        match i * 8 / REQUESTS {
+            2 => platform.fault(|f| f.down = Some(Down::Refuse)),
+            4 => platform.fault(|f| f.down = Some(Down::Hang)),
+            5 => platform.fault(|f| f.slow = Millis(20)),
+            _ => platform.fault(|f| f.down = None),
+        }
+        if i == REQUESTS / 2 {
+            let (claims, group) = std::mem::replace(&mut hosts[0], start_host(&server, 9));
+            claims.stop(Millis::ZERO).await;
+            drop(group);
+        }
+        // Every third key goes to two hosts at once.
+        for n in 0..1 + usize::from(i % 3 == 0) {
+            let gate = Arc::clone(&hosts[(i + n) % HOSTS].0);
+            let (k, runs) = (*k, Arc::clone(&runs));
+            tasks.spawn(async move { (k, n, sending(gate, k, runs, n).await) });
+        }
+        tokio::time::sleep(SPACING).await;
+    }
+    platform.fault(|f| *f = Default::default());
+    let told = tasks.join_all().await;
+    for (k, n, begin) in &told {
+        let alone = *n == 0 && told.iter().filter(|(other, ..)| other == k).count() == 1;
+        let ran = runs.lock().contains_key(k);
+        assert!(!(alone && ran && matches!(begin, Begin::NotRun(..))), "{k} ran");
+    }
+    assert!(runs.lock().values().all(|n| *n == 1), "a key ran twice");
+    assert!(runs.lock().len() > REQUESTS / 4, "{} ran", runs.lock().len());
+    let replays = check_definite(&hosts, &keys, &runs).await;
+    assert!(replays > REQUESTS / 4, "{replays} replayed");
+    for (claims, group) in hosts {
+        claims.stop(Millis(2_000)).await;
+        group.stop().await;
+    }
+    platform.stop().await;
+    server.stop().await;
+}
+
+fn keys() -> Vec<Key> {
+    (0..REQUESTS).map(|i| key(BootClock.wall(), i as u64)).collect()
+}
+
+/// Every key has one definite outcome, the same at every host; how many are replays.
+async fn check_definite(hosts: &[(Arc<Claims>, Arc<Group>)], keys: &[Key], runs: &Runs) -> usize {
+    let mut asking = JoinSet::new();
+    for (i, k) in keys.iter().enumerate() {
+        let gate = Arc::clone(&hosts[i % HOSTS].0);
+        let (k, runs) = (*k, Arc::clone(runs));
+        asking.spawn(async move {
+            let ran = runs.lock().contains_key(&k);
+            match definite(&gate, k).await {
+                Begin::Run(_) => assert!(!ran, "{k} would run again"),
+                Begin::Replay(_) => return usize::from(ran),
+                Begin::Unknown(Reason::AnswerLost, _) => {}
+                other => panic!("{k}: {other:?}"),
+            }
+            0
+        });
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    asking.join_all().await.into_iter().sum()
+}
