--- a/foxtail-once/src/relay.rs
+++ b/foxtail-once/src/relay.rs
@@ -3,14 +3,17 @@
 //! One host alone has too few requests to fill transactions. A relay gathers the writes of its
 //! peers with its own. Any host may be a relay for any write, and two relays cost only
 //! transactions: a write is made safe by its precondition and its token, not by who commits it.
+//!
+//! The way over the relay costs a hop and the wait for company. While a host makes few claims, it
+//! commits them itself; the ends of attempts, for which nobody waits, always go to the relay.
 
 use std::sync::Arc;
 
 use async_trait::async_trait;
 use foxtail_types::prelude::*;
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 
-use crate::commit::{Commit, Done, Entry, Sent};
+use crate::commit::{Commit, Done, Entry, Sent, Urgency};
 
 /// How long a peer may take before the write is committed by this host itself.
 const PEER_TIMEOUT: Millis = Millis(2_000);
@@ -45,13 +48,30 @@
 pub struct Relay {
     peers: Arc<dyn Peers>,
     own: Arc<dyn Commit>,
+    clock: Arc<dyn Clock>,
     target: RwLock<Option<HostId>>,
+    claims: Mutex<Meter>,
+}
+
+/// Counts events over the last second or so.
+struct Meter {
+    limit_per_s: u32,
+    second: u64,
+    before: u32,
+    current: u32,
 }
 
 impl Relay {
     /// Commits through `own` until a target is set.
-    pub fn new(peers: Arc<dyn Peers>, own: Arc<dyn Commit>) -> Arc<Self> {
-        Arc::new(Self { peers, own, target: RwLock::new(None) })
+    pub fn new(peers: Arc<dyn Peers>, own: Arc<dyn Commit>, clock: Arc<dyn Clock>) -> Arc<Self> {
+        let claims = Mutex::new(Meter { limit_per_s: 0, second: 0, before: 0, current: 0 });
+        Arc::new(Self { peers, own, clock, target: RwLock::new(None), claims })
+    }
+
+    /// Up to how many claims a second this host commits its claims itself. A share of the fleet's
+    /// budget: what is granted here to all hosts together must be less than the store takes.
+    pub fn set_direct(&self, claims_per_s: u32) {
+        self.claims.lock().limit_per_s = claims_per_s;
     }
 
     /// Sets the relay; `None` to commit without one.
@@ -60,10 +80,28 @@
     }
 }
 
+impl Meter {
+    /// Counts one event; whether there are no more than the limit.
+    fn count(&mut self, now: Millis) -> bool {
+        let (second, part) = (now.0 / 1_000, now.0 % 1_000);
+        if second != self.second {
+            self.before = if second == self.second + 1 { self.current } else { 0 };
+            self.current = 0;
+            self.second = second;
+        }
+        self.current += 1;
+        let before = u64::from(self.before) * (1_000 - part) / 1_000;
+        before + u64::from(self.current) <= u64::from(self.limit_per_s)
+    }
+}
+
 #[async_trait]
 impl Commit for Relay {
     async fn commit(&self, entry: Entry) -> Done {
-        let Some(target) = self.target.read().clone() else { return self.own.commit(entry).await };
+        let claim = entry.urgency == Urgency::Now;
+        let direct = claim && self.claims.lock().count(self.clock.now());
+        let target = self.target.read().clone().filter(|_| !direct);
+        let Some(target) = target else { return self.own.commit(entry).await };
         entry.sent.set(true);
         let Entry { write, born, urgency, .. } = entry.clone();
         let relayed = msg::Relayed { write, born, urgency };
--- a/foxtail-standin/src/platform/memory.rs
+++ b/foxtail-standin/src/platform/memory.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use foxtail_platform::hosts::HostEntry;
-use foxtail_platform::table::{Outcome, Row, Txn};
+use foxtail_platform::table::{Change, Outcome, Row, Txn};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
@@ -194,7 +194,7 @@
             }
         };
         state.counts.commits += 1;
-        state.counts.rows_written += txn.writes.len() as u64;
+        state.counts.rows_written += rows_written(txn) as u64;
         if self.loses_reply(&mut state) {
             return Err(Refusal::ReplyLost);
         }
@@ -262,6 +262,11 @@
     }
 }
 
+/// How many rows `txn` writes; a check alone is none.
+fn rows_written(txn: &Txn) -> usize {
+    txn.writes.iter().filter(|write| write.change != Change::Keep).count()
+}
+
 async fn sleep(span: Millis) {
     if span > Millis::ZERO {
         tokio::time::sleep(span.duration()).await;
