--- /dev/null
+++ b/foxtail-member/src/record.rs
@@ -0,0 +1,83 @@
+//! What one host knows of another.
+
+use foxtail_platform::{HostEntry, HostState};
+use foxtail_types::prelude::*;
+
+use crate::msg::{Entry, Identity, Phase, Status};
+
+/// What this host knows of one host, itself included.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub(crate) entry: Entry,
+    /// The local revision of the last change worth passing on.
+    pub(crate) revision: u64,
+    /// When the host itself last spoke to this host.
+    pub(crate) direct: Option<Millis>,
+    /// When it was first seen serving.
+    pub(crate) serving_since: Option<Millis>,
+    /// The platform's list says that it is leaving.
+    pub(crate) listed_leaving: bool,
+    /// When it was last in the platform's list, or first heard of.
+    pub(crate) listed: Millis,
+}
+
+impl Record {
+    pub(crate) fn new(entry: Entry, revision: u64, now: Millis) -> Self {
+        let serving_since = (entry.status.phase == Phase::Serving).then_some(now);
+        let (direct, listed_leaving) = (None, false);
+        Self { entry, revision, direct, serving_since, listed_leaving, listed: now }
+    }
+
+    /// A host known from the list alone: nothing is known of its state yet.
+    pub(crate) fn from_list(host: &HostEntry, revision: u64, now: Millis) -> Self {
+        let status =
+            Status { phase: Phase::Starting, version: Version::default(), busy_permille: 0 };
+        let entry = Entry { identity: identity(host), status, seq: 0, suspect: false };
+        let mut record = Self::new(entry, revision, now);
+        record.listed_leaving = host.state == HostState::Leaving;
+        record
+    }
+
+    /// Takes `entry` if it is newer than what is known. Tells whether anything changed.
+    pub(crate) fn merge(&mut self, entry: &Entry, now: Millis) -> bool {
+        if rank(entry) <= rank(&self.entry) {
+            return false;
+        }
+        let restarted = entry.identity.incarnation != self.entry.identity.incarnation;
+        if restarted {
+            self.direct = None;
+            self.listed_leaving = false;
+        }
+        match entry.status.phase {
+            Phase::Serving if self.serving_since.is_none() || restarted => {
+                self.serving_since = Some(now);
+            }
+            Phase::Serving => {}
+            Phase::Starting | Phase::Leaving => self.serving_since = None,
+        }
+        self.entry = entry.clone();
+        true
+    }
+
+    /// Whether it may take part in anything new.
+    pub(crate) fn takes_part(&self) -> bool {
+        !self.entry.suspect && !self.listed_leaving && self.entry.status.phase != Phase::Leaving
+    }
+}
+
+/// Who the platform says the host is.
+fn identity(host: &HostEntry) -> Identity {
+    Identity {
+        id: host.id.clone(),
+        incarnation: host.incarnation,
+        region: host.region.clone(),
+        zone: host.zone.clone(),
+        caller: host.caller,
+        peer: host.peer,
+        operator: host.operator,
+    }
+}
+
+fn rank(entry: &Entry) -> (u64, u64, bool) {
+    (entry.identity.incarnation, entry.seq, entry.suspect)
+}
