--- a/foxtail-wire/src/lib.rs
+++ b/foxtail-wire/src/lib.rs
@@ -1,1 +1,8 @@
 //! Services between hosts (tarpc) and towards operators (jsonrpsee).
+
+mod codec;
+pub mod peer;
+pub mod peers;
+
+pub use peer::{Peer, PeerClient};
+pub use peers::Peers;
