--- a/foxtail-standin/src/lib.rs
+++ b/foxtail-standin/src/lib.rs
@@ -1,1 +1,4 @@
 //! Stand-ins for the platform, upstreams and network, for tests and experiments.
+
+pub mod net;
+pub mod upstream;
--- /dev/null
+++ b/foxtail-standin/src/net/link.rs
@@ -0,0 +1,82 @@
+//! One direction between two regions: its rate, counters and cuts.
+
+use std::time::Duration;
+
+use foxtail_types::prelude::*;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::Cut;
+
+/// What went over one direction of a link.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// The bytes handed to the link in each second since the network was started.
+    pub bytes_by_second: Vec<u64>,
+    /// The longest that any bytes waited for the link to be free.
+    pub waited_max: Millis,
+}
+
+/// One direction of a link.
+pub(crate) struct Link {
+    bytes_per_s: f64,
+    started: Instant,
+    inner: Mutex<Inner>,
+    cut: watch::Sender<Option<Cut>>,
+}
+
+struct Inner {
+    free_at: Instant,
+    traffic: Traffic,
+}
+
+impl Link {
+    pub(crate) fn new(mbit_per_s: u32) -> Self {
+        let now = Instant::now();
+        Self {
+            bytes_per_s: f64::from(mbit_per_s) * 1e6 / 8.0,
+            started: now,
+            inner: Mutex::new(Inner { free_at: now, traffic: Traffic::default() }),
+            cut: watch::Sender::new(None),
+        }
+    }
+
+    /// Hands `bytes` to the link; returns when the last of them has been sent.
+    pub(crate) fn send(&self, bytes: usize) -> Instant {
+        let now = Instant::now();
+        let mut inner = self.inner.lock();
+        inner.traffic.count(now.duration_since(self.started).as_secs() as usize, bytes as u64);
+        let starts = inner.free_at.max(now);
+        let waited = Millis::from(starts.duration_since(now));
+        inner.traffic.waited_max = inner.traffic.waited_max.max(waited);
+        inner.free_at = starts + Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        inner.free_at
+    }
+
+    pub(crate) fn set_cut(&self, cut: Option<Cut>) {
+        self.cut.send_replace(cut);
+    }
+
+    pub(crate) fn cut(&self) -> watch::Receiver<Option<Cut>> {
+        self.cut.subscribe()
+    }
+
+    pub(crate) fn traffic(&self) -> Traffic {
+        self.inner.lock().traffic.clone()
+    }
+}
+
+impl Traffic {
+    /// The most bytes in any one second.
+    pub fn peak_bytes_per_s(&self) -> u64 {
+        self.bytes_by_second.iter().copied().max().unwrap_or(0)
+    }
+
+    fn count(&mut self, second: usize, bytes: u64) {
+        if self.bytes_by_second.len() <= second {
+            self.bytes_by_second.resize(second + 1, 0);
+        }
+        self.bytes_by_second[second] += bytes;
+    }
+}
