--- a/foxtail-standin/src/lib.rs
+++ b/foxtail-standin/src/lib.rs
@@ -1,1 +1,5 @@
 //! Stand-ins for the platform, upstreams and network, for tests and experiments.
+
+pub mod net;
+pub mod platform;
+pub mod upstream;
