--- /dev/null
+++ b/foxtail-config/src/compile/error.rs
@@ -0,0 +1,62 @@
+use std::fmt;
+
+use foxtail_types::prelude::*;
+
+/// Why input was not accepted: every problem found, not only the first.
+#[value]
+#[derive(Default)]
+pub struct Error {
+    /// The problems.
+    pub problems: Vec<Problem>,
+}
+
+/// One parameter that was not accepted.
+#[value]
+pub struct Problem {
+    /// The parameter, as a path through the input.
+    pub parameter: String,
+    /// What is wrong, with the bound.
+    pub reason: String,
+    /// What would be accepted.
+    pub accepted: String,
+}
+
+impl std::error::Error for Error {}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, problem) in self.problems.iter().enumerate() {
+            let line_break = if i == 0 { "" } else { "\n" };
+            write!(f, "{line_break}{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; accepted: {}", self.parameter, self.reason, self.accepted)
+    }
+}
+
+impl Error {
+    pub(super) fn push(
+        &mut self,
+        parameter: impl Into<String>,
+        reason: impl Into<String>,
+        accepted: impl Into<String>,
+    ) {
+        let (parameter, reason) = (parameter.into(), reason.into());
+        self.problems.push(Problem { parameter, reason, accepted: accepted.into() });
+    }
+
+    pub(super) fn push_report(&mut self, root: &str, report: &garde::Report) {
+        for (path, error) in report.iter() {
+            self.push(format!("{root}.{path}"), error.to_string(), "a value within the bound");
+        }
+    }
+
+    pub(super) fn into_result<'a, T: 'a>(self, value: T) -> Result<T, Error> {
+        if self.problems.is_empty() { Ok(value) } else { Err(self) }
+    }
+}
--- /dev/null
+++ b/foxtail-config/src/diff.rs
@@ -0,0 +1,58 @@
+//! Differences between two inputs, field by field.
+
+use std::fmt;
+
+use foxtail_types::prelude::*;
+use serde::Serialize;
+use serde_json::Value;
+
+/// A field that differs.
+#[value]
+pub struct Difference {
+    /// The field, as a path.
+    pub field: String,
+    /// Its value before, as JSON; `None` if it was not there.
+    pub before: Option<String>,
+    /// Its value after, as JSON; `None` if it is not there.
+    pub after: Option<String>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = |value: &Option<String>| value.clone().unwrap_or_else(|| "nothing".to_owned());
+        write!(f, "{}: {} -> {}", self.field, text(&self.before), text(&self.after))
+    }
+}
+
+/// The fields in which `before` and `after` differ, sorted by path.
+pub fn diff<T: Serialize>(before: Option<&T>, after: Option<&T>) -> Vec<Difference> {
+    let mut found = Vec::new();
+    walk("", to_json(before).as_ref(), to_json(after).as_ref(), &mut found);
+    found
+}
+
+fn to_json<T: Serialize>(value: Option<&T>) -> Option<Value> {
+    value.map(|value| serde_json::to_value(value).expect("configuration is plain JSON"))
+}
+
+fn walk(path: &str, before: Option<&Value>, after: Option<&Value>, found: &mut Vec<Difference>) {
+    if before == after {
+        return;
+    }
+    let (old, new) = (before.and_then(Value::as_object), after.and_then(Value::as_object));
+    let absent = before.is_none() || after.is_none();
+    if (old.is_some() && new.is_some()) || (absent && (old.is_some() || new.is_some())) {
+        let mut keys: Vec<&String> =
+            old.into_iter().chain(new).flat_map(|map| map.keys()).collect();
+        keys.sort();
+        keys.dedup();
+        for key in keys {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            let get = |map: Option<&serde_json::Map<String, Value>>| map?.get(key).cloned();
+            walk(&path, get(old).as_ref(), get(new).as_ref(), found);
+        }
+        return;
+    }
+    let text = |value: Option<&Value>| value.map(Value::to_string);
+    found.push(Difference { field: path.to_owned(), before: text(before), after: text(after) });
+}
--- a/foxtail-config/src/spec.rs
+++ b/foxtail-config/src/spec.rs
@@ -89,6 +89,7 @@
 
 /// Requests that may never be repeated: those of this method below this path.
 #[value]
+#[serde(deny_unknown_fields)]
 pub struct OnceRule {
     /// The method, for example `POST`.
     pub method: String,
--- a/foxtail-types/src/id.rs
+++ b/foxtail-types/src/id.rs
@@ -10,7 +10,7 @@
 use uuid::Uuid;
 
 /// The longest name, in bytes.
-const NAME_MAX_BYTES: usize = 63;
+pub const NAME_MAX_BYTES: usize = 63;
 
 /// A name that breaks the rules for names.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/foxtail-types/src/lib.rs
+++ b/foxtail-types/src/lib.rs
@@ -7,8 +7,8 @@
 
 pub use class::Class;
 pub use id::{
-    Epoch, HostId, Key, LinkId, NameError, PoolId, RegionId, RequestId, ServiceId, UpstreamId,
-    Version, WorkspaceId, ZoneId,
+    Epoch, HostId, Key, LinkId, NAME_MAX_BYTES, NameError, PoolId, RegionId, RequestId, ServiceId,
+    UpstreamId, Version, WorkspaceId, ZoneId,
 };
 pub use outcome::Outcome;
 pub use request::{Meta, Repeat};
