feat: routing plan, block map, look-up, retry policy and crash suspects

First usable versions of the decision crates. foxtail-route orders the pools of a request and judges upstreams; foxtail-place maps blocks of clients to sites and answers look-ups; foxtail-retry budgets retries and keeps one request from bringing down more than two upstreams.

--- /dev/null
+++ b/foxtail-place/src/delta.rs
@@ -0,0 +1,74 @@
+//! Changes of a block map between two versions.
+
+use foxtail_types::prelude::*;
+use ipnet::IpNet;
+
+use crate::map::{BlockMap, Error, SiteIndex, check};
+use crate::ranges::{Range, overlay};
+
+/// What turns a map of one version into the next.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Delta {
+    /// The version that it applies to.
+    pub base: Version,
+    /// The version that it leads to.
+    pub next: Version,
+    /// The changes, applied in order.
+    pub changes: Vec<Change>,
+}
+
+/// A change of a block: all its addresses, those of inner blocks too, move to a site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Change {
+    /// The addresses.
+    pub net: IpNet,
+    /// The new site, or none.
+    pub site: Option<SiteIndex>,
+}
+
+impl Delta {
+    /// The map after this delta. The old one stays as it is, for look-ups that still use it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the delta belongs to another version or a change can't be taken.
+    pub fn apply(&self, map: &BlockMap) -> Result<BlockMap, Error> {
+        if self.base != map.version() {
+            return Err(Error::OtherBase { base: self.base, have: map.version() });
+        }
+        let mut v4 = Vec::new();
+        let mut v6 = Vec::new();
+        for change in &self.changes {
+            let range = check(map.sites(), change.net, change.site)?;
+            let family = if matches!(change.net, IpNet::V4(_)) { &mut v4 } else { &mut v6 };
+            put(family, range);
+        }
+        let (old_v4, old_v6) = map.parts();
+        let (v4, v6) = (laid_over(old_v4, &v4), laid_over(old_v6, &v6));
+        let sites = map.sites().to_vec();
+        Ok(BlockMap::from_parts(self.next, sites, v4.into_iter(), v6.into_iter()))
+    }
+}
+
+/// Adds `range` to sorted `changes` that are apart; it replaces what it covers.
+///
+/// Two blocks nest or are apart, so an earlier one that encloses `range` is split around it.
+fn put(changes: &mut Vec<Range>, range: Range) {
+    let from = changes.partition_point(|it| it.end < range.start);
+    let to = changes.partition_point(|it| it.start <= range.end);
+    let mut with = Vec::with_capacity(3);
+    if let Some(first) = changes.get(from).filter(|it| from < to && it.start < range.start) {
+        with.push(Range { end: range.start - 1, ..*first });
+    }
+    with.push(range);
+    if let Some(last) = changes[from..to].last().filter(|it| it.end > range.end) {
+        with.push(Range { start: range.end + 1, ..*last });
+    }
+    changes.splice(from..to, with);
+}
+
+fn laid_over(ranges: impl Iterator<Item = Range>, changes: &[Range]) -> Vec<Range> {
+    let mut out = Vec::with_capacity(ranges.size_hint().0 + 2 * changes.len());
+    overlay(ranges, changes, |range| out.push(range));
+    out
+}
--- /dev/null
+++ b/foxtail-retry/src/watch.rs
@@ -0,0 +1,354 @@
+//! Keeps one request from bringing down more than two upstreams.
+//!
+//! A request runs in one of three ways:
+//!
+//! - proven: the same request was answered a short while ago. Nothing is asked.
+//! - first: a guard, one host of the caller's region, lets it run once at a time.
+//! - trial: an upstream broke under it. It runs one at a time in the whole system, by a row of the
+//!   table; one answer clears it, a second crash convicts it. Without the table it does not run.
+//!
+//! So the first crash happens under the guard, the second in a trial, and there is no third.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use foxtail_platform::Table;
+use foxtail_types::outcome::Reason;
+use foxtail_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::fingerprint::Fingerprint;
+use crate::guard::{Begin, Guard, RunId};
+use crate::msg::{Ask, Done, Ended, Leave, News};
+use crate::proven::Proven;
+use crate::record::{Evidence, MarkId, Standing};
+use crate::suspect::Suspects;
+use crate::trial::{self, Suspect, Trial, Trials};
+
+/// How long to wait for a guard before the next host is asked.
+const GUARD_TIMEOUT: Millis = Millis(250);
+/// The most hosts that are asked in turn.
+const GUARDS_MAX: usize = 2;
+/// How often a guard looks whether the run that another request waits for has ended.
+const WAIT_STEP: Millis = Millis(2);
+/// The longest that a request waits at its guard before it asks again.
+const WAIT_MAX: Millis = Millis(200);
+/// How often a suspect looks whether the trial that it waits for has ended.
+const TRIAL_STEP: Millis = Millis(50);
+/// What a guard adds to a run's time before it counts as lost.
+const GRACE: Millis = Millis::secs(2);
+/// When a caller is told to come back while its request waits for the same one.
+const RETRY_AFTER: Millis = Millis::secs(1);
+
+/// Sends messages to other hosts.
+#[async_trait]
+pub trait Peers: Send + Sync {
+    /// Asks the guard on `host`.
+    ///
+    /// # Errors
+    ///
+    /// [`Unreachable`] if there was no answer in time.
+    async fn ask(&self, host: &HostId, ask: Ask, timeout: Millis) -> Result<Leave, Unreachable>;
+
+    /// Tells the guard on `host` that a run has ended; tried a few times, then given up.
+    async fn done(&self, host: &HostId, done: Done);
+
+    /// Tells all other hosts within seconds. Returns at once.
+    fn spread(&self, news: News);
+}
+
+/// A host did not answer in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the host did not answer in time")]
+pub struct Unreachable;
+
+/// Watches over the requests of one host.
+pub struct Watch {
+    own: HostId,
+    clock: Arc<dyn Clock>,
+    table: Arc<dyn Table>,
+    peers: Arc<dyn Peers>,
+    suspects: Suspects,
+    proven: Proven,
+    guard: Guard,
+    trials: Trials,
+}
+
+/// A request that asks leave for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Case<'a> {
+    /// The workspace.
+    pub workspace: &'a WorkspaceId,
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The fingerprint.
+    pub fp: Fingerprint,
+    /// The live hosts of the caller's region, by the caller's address and not by where it
+    /// entered, so that all copies of a request that one caller sends meet at one guard.
+    pub hosts: &'a [HostId],
+    /// When the attempt ends, at the latest.
+    pub deadline: Millis,
+}
+
+/// The leave to make one attempt, to be given back to [`Watch::finish`].
+#[derive(Debug)]
+#[must_use = "a permit that is not finished makes a suspect of the request"]
+pub struct Permit {
+    fp: Fingerprint,
+    run: RunId,
+    way: Way,
+}
+
+/// How an attempt runs.
+#[derive(Debug)]
+enum Way {
+    Proven,
+    First(Guards),
+    Trial(Trial),
+}
+
+/// The guard that let a run begin, and one that was asked before and did not answer.
+#[derive(Debug)]
+struct Guards {
+    guard: HostId,
+    silent: Option<HostId>,
+}
+
+impl Permit {
+    /// How the attempt runs, for logs.
+    pub fn way(&self) -> &'static str {
+        match self.way {
+            Way::Proven => "proven",
+            Way::First(_) => "first",
+            Way::Trial(_) => "trial",
+        }
+    }
+}
+
+impl Watch {
+    /// Watches for the host `own`.
+    pub fn new(
+        own: HostId,
+        clock: Arc<dyn Clock>,
+        table: Arc<dyn Table>,
+        peers: Arc<dyn Peers>,
+    ) -> Self {
+        Self {
+            own,
+            clock,
+            table,
+            peers,
+            suspects: Suspects::default(),
+            proven: Proven::default(),
+            guard: Guard::default(),
+            trials: Trials::default(),
+        }
+    }
+
+    /// Asks leave for one attempt.
+    ///
+    /// # Errors
+    ///
+    /// The [`Outcome`] for the caller if the request may not run.
+    pub async fn admit(&self, case: &Case<'_>) -> Result<Permit, Outcome> {
+        let fp = case.fp;
+        let run = RunId(rand::random());
+        while self.clock.now() < case.deadline {
+            match self.standing(fp) {
+                Standing::Convicted => return Err(convicted()),
+                Standing::Suspect => return self.trial(case, run).await,
+                Standing::Clear if self.proven.contains(fp, self.clock.now()) => {
+                    return Ok(Permit { fp, run, way: Way::Proven });
+                }
+                Standing::Clear => {}
+            }
+            let (guards, leave) = self.ask(case, run).await;
+            match leave {
+                Leave::Run => return Ok(Permit { fp, run, way: Way::First(guards) }),
+                Leave::Busy => {}
+                Leave::Recorded(record) => self.receive(&News { fp, record }),
+            }
+        }
+        Err(not_run(Reason::DeadlinePassed))
+    }
+
+    /// Gives back a permit with how the attempt ended.
+    pub async fn finish(&self, permit: Permit, ended: Ended) {
+        let Permit { fp, run, way } = permit;
+        self.learn(fp, run, ended, matches!(way, Way::Trial(_)));
+        match way {
+            Way::Proven => {}
+            Way::First(guards) => {
+                for host in guards.silent.iter().chain([&guards.guard]) {
+                    self.end_run(host, Done { fp, run, ended }).await;
+                }
+            }
+            Way::Trial(trial) => self.end_trial(fp, trial, ended).await,
+        }
+    }
+
+    /// Answers a peer that asks this host's guard. May take up to [`WAIT_MAX`].
+    pub async fn serve(&self, ask: Ask) -> Leave {
+        let waited_from = self.clock.now();
+        loop {
+            let leave = self.leave(ask);
+            let waited = self.clock.now().since(waited_from);
+            if leave != Leave::Busy || waited >= WAIT_MAX.min(ask.within) {
+                return leave;
+            }
+            tokio::time::sleep(WAIT_STEP.duration()).await;
+        }
+    }
+
+    /// Takes note of a run that a peer has ended.
+    pub fn done(&self, done: Done) {
+        self.learn(done.fp, done.run, done.ended, false);
+        self.guard.end(done.fp, done.run);
+    }
+
+    /// Takes in news from a peer.
+    pub fn receive(&self, news: &News) {
+        self.proven.forget(news.fp);
+        if let Some(more) = self.suspects.receive(news, self.clock.wall()) {
+            tracing::warn!(event = "convicted", fingerprint = %news.fp);
+            self.peers.spread(more);
+        }
+    }
+
+    /// All that this host knows, for a host that joins.
+    pub fn news(&self) -> Vec<News> {
+        self.suspects.news(self.clock.wall())
+    }
+
+    /// How `fp` stands on this host.
+    pub fn standing(&self, fp: Fingerprint) -> Standing {
+        self.suspects.standing(fp, self.clock.wall())
+    }
+
+    async fn ask(&self, case: &Case<'_>, run: RunId) -> (Guards, Leave) {
+        let within = case.deadline.since(self.clock.now()) + GRACE;
+        let ask = Ask { fp: case.fp, run, within };
+        let mut silent = None;
+        for guard in guards(case.fp, case.hosts).take_while(|guard| **guard != self.own) {
+            let timeout = GUARD_TIMEOUT + WAIT_MAX;
+            if let Ok(leave) = self.peers.ask(guard, ask, timeout).await {
+                return (Guards { guard: guard.clone(), silent }, leave);
+            }
+            tracing::info!(event = "guard-unreachable", host = %guard, fingerprint = %case.fp);
+            silent = Some(guard.clone());
+        }
+        (Guards { guard: self.own.clone(), silent }, self.serve(ask).await)
+    }
+
+    async fn end_run(&self, guard: &HostId, done: Done) {
+        if *guard == self.own {
+            self.guard.end(done.fp, done.run);
+        } else {
+            self.peers.done(guard, done).await;
+        }
+    }
+
+    fn leave(&self, ask: Ask) -> Leave {
+        let Ask { fp, run, within } = ask;
+        let now = self.clock.now();
+        match self.standing(fp) {
+            Standing::Convicted | Standing::Suspect => {
+                return Leave::Recorded(self.suspects.record(fp));
+            }
+            Standing::Clear if self.proven.contains(fp, now) => return Leave::Run,
+            Standing::Clear => {}
+        }
+        match self.guard.begin(fp, run, now + within, now) {
+            Begin::Go => Leave::Run,
+            Begin::Wait => Leave::Busy,
+            Begin::AfterLost(lost) => {
+                self.learn(fp, lost, Ended::Broke(Evidence::Break), false);
+                Leave::Recorded(self.suspects.record(fp))
+            }
+        }
+    }
+
+    /// Draws the conclusions from a run. The run's number marks the event, so that the guard and
+    /// the host that ran it count it once.
+    fn learn(&self, fp: Fingerprint, run: RunId, ended: Ended, trial: bool) {
+        let wall = self.clock.wall();
+        match ended {
+            Ended::Nothing => {}
+            Ended::Answered => {
+                if trial {
+                    tracing::info!(event = "suspect-cleared", fingerprint = %fp);
+                    self.peers.spread(self.suspects.clear(fp, wall));
+                }
+                if self.standing(fp) == Standing::Clear {
+                    self.proven.answered(fp, self.clock.now());
+                }
+            }
+            Ended::Broke(evidence) => {
+                self.proven.forget(fp);
+                let news = self.suspects.mark(fp, MarkId(run.0), evidence, wall);
+                let standing = news.record.standing();
+                tracing::warn!(event = "suspect", fingerprint = %fp, ?evidence, ?standing);
+                self.peers.spread(news);
+            }
+        }
+    }
+
+    /// Waits until no other suspect of the service runs, then begins a trial.
+    async fn trial(&self, case: &Case<'_>, run: RunId) -> Result<Permit, Outcome> {
+        let fp = case.fp;
+        while self.clock.now() < case.deadline {
+            let within = case.deadline.since(self.clock.now());
+            let Case { workspace, service, .. } = *case;
+            let suspect = Suspect { workspace, service, fp, run, within };
+            let (table, clock) = (self.table.as_ref(), self.clock.as_ref());
+            match self.trials.begin(table, clock, &suspect).await {
+                Ok(trial) => return self.begun(case, run, trial).await,
+                Err(trial::Refusal::Busy) => tokio::time::sleep(TRIAL_STEP.duration()).await,
+                Err(trial::Refusal::Lost(lost)) => {
+                    self.learn(lost.fp, lost.run, Ended::Broke(Evidence::Break), false);
+                }
+                Err(trial::Refusal::Store) => return Err(not_run(Reason::StoreUnavailable)),
+                Err(trial::Refusal::Convicted(record)) => {
+                    self.receive(&News { fp, record });
+                    return Err(convicted());
+                }
+            }
+        }
+        Err(not_run(Reason::DeadlinePassed))
+    }
+
+    /// A trial has begun, and may have done so late, or after news of a conviction.
+    async fn begun(&self, case: &Case<'_>, run: RunId, trial: Trial) -> Result<Permit, Outcome> {
+        let fp = case.fp;
+        let convicted_since = self.standing(fp) == Standing::Convicted;
+        if !convicted_since && self.clock.now() < case.deadline {
+            return Ok(Permit { fp, run, way: Way::Trial(trial) });
+        }
+        self.end_trial(fp, trial, Ended::Nothing).await;
+        Err(if convicted_since { convicted() } else { not_run(Reason::DeadlinePassed) })
+    }
+
+    async fn end_trial(&self, fp: Fingerprint, trial: Trial, ended: Ended) {
+        let record = self.suspects.record(fp);
+        if trial.end(self.table.as_ref(), &record).await.is_err() {
+            tracing::warn!(event = "trial-end-not-recorded", fingerprint = %fp, ?ended);
+        }
+    }
+}
+
+/// The hosts to ask in turn: the same for all hosts that know the same `hosts`.
+fn guards(fp: Fingerprint, hosts: &[HostId]) -> impl Iterator<Item = &HostId> {
+    let score = |host: &HostId| xxh3_64_with_seed(host.as_str().as_bytes(), fp.hash64());
+    let first = hosts.iter().max_by_key(|host| score(host));
+    let rest = hosts.iter().filter(move |host| Some(*host) != first);
+    let second = rest.max_by_key(|host| score(host));
+    first.into_iter().chain(second).take(GUARDS_MAX)
+}
+
+fn convicted() -> Outcome {
+    Outcome::Refused { reason: Reason::Convicted }
+}
+
+fn not_run(reason: Reason) -> Outcome {
+    Outcome::NotRun { reason, retry_after: RETRY_AFTER }
+}
