feat(lab): model of callers, hosts and upstreams with the baselines and the ideal queue

All policies see the same arrivals and service times in virtual time. Static shares, two choices on lagging reports and one free queue over all slots are compared on both users' shapes.

--- /dev/null
+++ b/foxtail-lab/examples/experiment.rs
@@ -0,0 +1,109 @@
+//! Compares policies side by side under the same arrivals, in virtual time.
+//!
+//! `FOXTAIL_SEED` sets the seed and `FOXTAIL_SECS` the virtual seconds of each run.
+
+#![allow(clippy::print_stdout)]
+
+use std::thread;
+
+use foxtail_lab::model::policy::{Ideal, StaticShares, TwoChoices};
+use foxtail_lab::model::{Figures, Health, Micros, Workload, run};
+use foxtail_lab::shape::{Shape, fondo, tali_selamat};
+
+const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
+const DEFAULT_SEED: u64 = 7;
+const DEFAULT_SECS: u64 = 60;
+
+/// One line of the table.
+struct Line {
+    policy: &'static str,
+    figures: Figures,
+}
+
+/// All policies under one workload.
+struct Case {
+    workspace: &'static str,
+    health: Health,
+    load: f64,
+    lines: Vec<Line>,
+}
+
+fn main() {
+    let seed = setting("FOXTAIL_SEED", DEFAULT_SEED);
+    let secs = setting("FOXTAIL_SECS", DEFAULT_SECS);
+    println!("seed {seed}, {secs} virtual seconds a run, of which the first sixth is not counted");
+    println!("load: share of the whole capacity if healthy, of what is left if a zone is lost");
+    let cases = all_cases(seed, secs);
+    for case in &cases {
+        print_case(case);
+    }
+}
+
+fn setting(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn all_cases(seed: u64, secs: u64) -> Vec<Case> {
+    let mut handles = Vec::new();
+    for shape in [tali_selamat(), fondo()] {
+        for health in [Health::Healthy, Health::ZoneLost] {
+            let shape = shape.clone();
+            handles.push(thread::spawn(move || {
+                LOADS.map(|load| one_case(&shape, load, health, seed, secs))
+            }));
+        }
+    }
+    let join = |handle: thread::JoinHandle<_>| handle.join().expect("a run does not panic");
+    handles.into_iter().flat_map(join).collect()
+}
+
+fn one_case(shape: &Shape, load: f64, health: Health, seed: u64, secs: u64) -> Case {
+    let workload = Workload::new(shape, load, health, Micros(secs * 1_000_000), seed);
+    let lines = vec![
+        Line { policy: "static", figures: run(shape, &workload, StaticShares::new) },
+        Line { policy: "two-choices", figures: run(shape, &workload, |_| TwoChoices::new(seed)) },
+        Line { policy: "ideal", figures: run(shape, &workload, Ideal::new) },
+    ];
+    Case { workspace: shape.workspace, health, load, lines }
+}
+
+fn print_case(case: &Case) {
+    println!();
+    println!("{}, {:?}, load {:.0}%", case.workspace, case.health, case.load * 100.0);
+    println!(
+        "{:>12} {:>8} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>7} {:>6} {:>7} {:>9}",
+        "policy",
+        "p50 ms",
+        "p99 ms",
+        "p99.9",
+        "answered",
+        "archive",
+        "goodput",
+        "(min)",
+        "slots",
+        "link",
+        "shift/s",
+        "breaches"
+    );
+    for line in &case.lines {
+        let f = &line.figures;
+        let [p50, p99, p999] = f.interactive_ms;
+        let archive = f.archive_answered.map_or("-".to_owned(), percent);
+        println!(
+            "{:>12} {p50:>8.1} {p99:>8.1} {p999:>8.1} {:>9} {archive:>8} {:>8} {:>8} {:>7} {:>6} \
+             {:>7} {:>9}",
+            line.policy,
+            percent(f.answered),
+            percent(f.goodput),
+            percent(f.goodput_min),
+            percent(f.slots_used),
+            percent(f.link_peak),
+            f.shift_peak_per_s,
+            f.breaches
+        );
+    }
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.1}%", share * 100.0)
+}
--- a/foxtail-lab/src/lib.rs
+++ b/foxtail-lab/src/lib.rs
@@ -1,1 +1,7 @@
 //! Load and experiment tools over the stand-ins.
+//!
+//! [`shape`] holds the two users' workspaces as the brief gives them. [`model`] is an event-driven
+//! model of callers, hosts and upstreams in virtual time that compares policies.
+
+pub mod model;
+pub mod shape;
--- /dev/null
+++ b/foxtail-lab/src/model/policy/mod.rs
@@ -0,0 +1,10 @@
+//! The policies that are compared.
+
+mod ideal;
+mod queue;
+mod static_shares;
+mod two_choices;
+
+pub use ideal::Ideal;
+pub use static_shares::StaticShares;
+pub use two_choices::TwoChoices;
