--- a/foxtail-lab/src/model/figures.rs
+++ b/foxtail-lab/src/model/figures.rs
@@ -31,6 +31,8 @@
     pub requests: u64,
 }
 
+const LATENCY_MAX: Micros = Micros(60_000_000);
+
 /// Counts a run's events.
 pub(crate) struct Tally {
     interactive: Histogram<u64>,
@@ -50,7 +52,8 @@
         let regions = shape.regions.len();
         let seconds = workload.until.as_secs_f64() as usize + 30;
         Self {
-            interactive: Histogram::new(3).expect("three digits are in range"),
+            interactive: Histogram::new_with_max(LATENCY_MAX.0, 3)
+                .expect("the bounds are in range"),
             sent: [0; 2],
             in_time: [0; 2],
             answers: vec![0; shape.services.len()],
--- a/foxtail-lab/src/model/policy/queue.rs
+++ b/foxtail-lab/src/model/policy/queue.rs
@@ -17,7 +17,7 @@
         let request = world.requests[req];
         let mean = Micros::from(world.shape.services[request.arrival.service].mean);
         let wait = mean.0 * (self.waiting.len() as u64 + 1) / slots.max(1) as u64;
-        if slots == 0 || world.now + Micros(wait) + mean > request.deadline {
+        if slots == 0 || world.now + Micros(wait) + runs_within(mean) > request.deadline {
             world.not_run(req);
         } else {
             self.waiting.push_back(req);
@@ -29,7 +29,7 @@
         while let Some(req) = self.waiting.pop_front() {
             let request = world.requests[req];
             let mean = Micros::from(world.shape.services[request.arrival.service].mean);
-            if world.now + mean <= request.deadline {
+            if world.now + runs_within(mean) <= request.deadline {
                 return Some(req);
             }
             world.not_run(req);
@@ -37,3 +37,8 @@
         None
     }
 }
+
+/// The time that nearly every request of this mean runs within.
+fn runs_within(mean: Micros) -> Micros {
+    Micros(mean.0 * 3)
+}
--- a/foxtail-lab/src/model/world.rs
+++ b/foxtail-lab/src/model/world.rs
@@ -218,7 +218,7 @@
         let host = self.hosts[self.requests[req].host];
         let node = self.servers[server].node;
         let at = self.crossed(host, node, REQUEST_BYTES);
-        if host.region != node.region {
+        if host.region != node.region && !self.ways_are_free {
             self.tally.shifted(host.region, self.now);
         }
         self.push(at, Event::AtServer(req, server));
