--- a/foxtail-config/src/plan.rs
+++ b/foxtail-config/src/plan.rs
@@ -10,6 +10,7 @@
 
 /// What a change would do.
 #[value]
+#[derive(Default)]
 pub struct Plan {
     /// The fields that change.
     pub changes: Vec<Difference>,
--- a/foxtail-config/src/stage.rs
+++ b/foxtail-config/src/stage.rs
@@ -52,12 +52,20 @@
         Self { target: first, in_force, reach: Reach::Seen, places: Places::new() }
     }
 
+    /// Starts on `first` where another host has got as far as `in_force`.
+    pub fn resume(first: Arc<Snapshot>, in_force: Arc<Snapshot>) -> Self {
+        let mut places = Places::new();
+        note_places(&mut places, &in_force, &|_| true);
+        let in_force = Arc::new(limited(&places, &in_force, &first, Reach::Seen));
+        Self { target: first, in_force, reach: Reach::Seen, places }
+    }
+
     /// Takes up a newer version. A version that is not newer changes nothing.
     pub fn offer(&mut self, new: Arc<Snapshot>) {
         if new.version <= self.target.version {
             return;
         }
-        note_places(&mut self.places, &self.in_force);
+        note_places(&mut self.places, &self.in_force, &|slots| slots > 0);
         self.in_force = Arc::new(limited(&self.places, &self.in_force, &new, Reach::Seen));
         self.target = new;
         self.reach = Reach::Seen;
@@ -104,7 +112,7 @@
         return new.clone();
     }
     let mut places = Places::new();
-    note_places(&mut places, old);
+    note_places(&mut places, old, &|slots| slots > 0);
     limited(&places, old, new, reach)
 }
 
@@ -120,11 +128,12 @@
     out
 }
 
-/// Adds the places of `snapshot`; of a server that is noted already, the first place counts.
-fn note_places(places: &mut Places, snapshot: &Snapshot) {
+/// Adds the places of `snapshot` whose slots `count`; of a server that is noted already, the first
+/// place counts.
+fn note_places(places: &mut Places, snapshot: &Snapshot, count: &dyn Fn(u32) -> bool) {
     for workspace in &snapshot.workspaces {
         for service in &workspace.services {
-            for upstream in service.upstreams.iter().filter(|upstream| upstream.slots > 0) {
+            for upstream in service.upstreams.iter().filter(|upstream| count(upstream.slots)) {
                 let place = Place {
                     workspace: workspace.id.clone(),
                     service: service.id.clone(),
@@ -146,7 +155,7 @@
         for upstream in &mut service.upstreams {
             let Some(place) = places.get(&upstream.addr) else { continue };
             let same = place.workspace == new.id && place.service == service.id;
-            if !same || place.region != upstream.region {
+            if !same || place.region != upstream.region || place.slots == 0 {
                 upstream.slots = 0;
             } else if reach == Reach::Seen {
                 upstream.slots = upstream.slots.min(place.slots);
