--- a/foxtail-lab/examples/experiment.rs
+++ b/foxtail-lab/examples/experiment.rs
@@ -11,6 +11,8 @@
 use foxtail_lab::shape::{Shape, fondo, tali_selamat};
 
 const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
+/// A shift cap that lets a region pass on what the loss of one of its zones leaves over.
+const SHIFT_PER_S: u64 = 400;
 const DEFAULT_SEED: u64 = 7;
 const DEFAULT_SECS: u64 = 60;
 
@@ -22,7 +24,7 @@
 
 /// All policies under one workload.
 struct Case {
-    workspace: &'static str,
+    workspace: String,
     health: Health,
     load: f64,
     lines: Vec<Line>,
@@ -46,6 +48,7 @@
 fn all_cases(seed: u64, secs: u64) -> Vec<Case> {
     let mut handles = Vec::new();
     for shape in [tali_selamat(), fondo()] {
+        let shape = shape.with_even_demand().with_shift_per_s(SHIFT_PER_S);
         for health in [Health::Healthy, Health::ZoneLost] {
             let shape = shape.clone();
             handles.push(thread::spawn(move || {
@@ -64,7 +67,7 @@
         Line { policy: "two-choices", figures: run(shape, &workload, |_| TwoChoices::new(seed)) },
         Line { policy: "ideal", figures: run(shape, &workload, Ideal::new) },
     ];
-    Case { workspace: shape.workspace, health, load, lines }
+    Case { workspace: shape.workspace_id().to_string(), health, load, lines }
 }
 
 fn print_case(case: &Case) {
--- a/foxtail-lab/src/model/figures.rs
+++ b/foxtail-lab/src/model/figures.rs
@@ -4,7 +4,7 @@
 use hdrhistogram::Histogram;
 
 use super::{Micros, Request, Workload};
-use crate::shape::Shape;
+use crate::shape::{REGIONS, Shape};
 
 /// The figures of one run.
 #[derive(Clone, Debug)]
@@ -49,7 +49,7 @@
 
 impl Tally {
     pub(crate) fn new(shape: &Shape, workload: &Workload) -> Self {
-        let regions = shape.regions.len();
+        let regions = REGIONS;
         let seconds = workload.until.as_secs_f64() as usize + 30;
         Self {
             interactive: Histogram::new_with_max(LATENCY_MAX.0, 3)
@@ -113,7 +113,7 @@
         assert_eq!(ended, arrivals.count() as u64, "every request ends exactly once");
         let quantile = |q| self.interactive.value_at_quantile(q) as f64 / 1_000.0;
         let span_s = self.measured.1.since(self.measured.0).as_secs_f64();
-        let slots = f64::from(shape.slots_per_service()) * workload.health.remaining(shape);
+        let slots = f64::from(shape.slots_per_service()) * workload.health.remaining();
         let goodput = |service: usize| {
             let mean_s = shape.services[service].mean.as_secs_f64();
             self.answers[service] as f64 * mean_s / (span_s * slots)
@@ -131,7 +131,8 @@
             goodput_min: goodputs.iter().copied().fold(f64::INFINITY, f64::min),
             slots_used: self.slot_time.as_secs_f64()
                 / (span_s * slots * shape.services.len() as f64),
-            link_peak: bytes_peak as f64 * 8.0 / (f64::from(shape.link_mbit_per_s) * 1e6),
+            link_peak: bytes_peak as f64 * 8.0
+                / (f64::from(shape.network.links[0].mbit_per_s) * 1e6),
             shift_peak_per_s: self.shifts.iter().flatten().copied().max().unwrap_or(0),
             breaches: self.breaches,
             requests: ended,
--- a/foxtail-lab/src/model/policy/ideal.rs
+++ b/foxtail-lab/src/model/policy/ideal.rs
@@ -4,7 +4,7 @@
 
 use super::queue::Queue;
 use crate::model::{Attempt, Policy, World};
-use crate::shape::SLOTS_PER_UPSTREAM;
+use crate::shape::{REGIONS, SLOTS_PER_UPSTREAM};
 
 /// One queue over all slots of a service in all regions. Nothing inside the system takes any time,
 /// so no real policy can do better on average.
@@ -18,7 +18,7 @@
 impl Ideal {
     /// For the servers that are there in `world`'s shape.
     pub fn new<M>(world: &World<'_, M>) -> Self {
-        let regions = 0..world.shape.regions.len();
+        let regions = 0..REGIONS;
         let free: Vec<Vec<usize>> = (0..world.shape.services.len())
             .map(|service| {
                 let servers = regions.clone().flat_map(|region| world.servers_in(service, region));
--- a/foxtail-lab/src/model/policy/static_shares.rs
+++ b/foxtail-lab/src/model/policy/static_shares.rs
@@ -4,7 +4,7 @@
 
 use super::queue::Queue;
 use crate::model::{Attempt, Policy, World};
-use crate::shape::SLOTS_PER_UPSTREAM;
+use crate::shape::{REGIONS, SLOTS_PER_UPSTREAM};
 
 /// Capacity divided by the hosts there are, and a queue at each host.
 #[derive(Clone, Debug)]
@@ -26,7 +26,7 @@
     pub fn new<M>(world: &World<'_, M>) -> Self {
         let services = world.shape.services.len();
         let mut shares = vec![Share::default(); world.hosts.len() * services];
-        for region in 0..world.shape.regions.len() {
+        for region in 0..REGIONS {
             let here = |host: &usize| {
                 let node = world.hosts[*host];
                 node.alive && node.region == region
--- a/foxtail-lab/src/model/workload.rs
+++ b/foxtail-lab/src/model/workload.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::Micros;
-use crate::shape::{Shape, ZONES_PER_REGION};
+use crate::shape::{REGIONS, SERVICE_SIGMA, Shape, ZONES_PER_REGION};
 
 /// What is lost during the whole run.
 #[id]
@@ -52,12 +52,12 @@
     pub fn new(shape: &Shape, load: f64, health: Health, until: Micros, seed: u64) -> Self {
         let mut arrivals = Vec::new();
         for (service, spec) in shape.services.iter().enumerate() {
-            let slots = f64::from(shape.slots_per_service()) * health.remaining(shape);
+            let slots = f64::from(shape.slots_per_service()) * health.remaining();
             let per_ms = load * slots / spec.mean.0 as f64;
             for (region, share) in spec.demand.iter().enumerate() {
                 let seed = seed ^ ((service as u64) << 8 | region as u64) << 32;
                 let mut rng = SmallRng::seed_from_u64(seed);
-                let service_time = ServiceTime { mean: spec.mean, sigma: spec.sigma };
+                let service_time = ServiceTime { mean: spec.mean, sigma: SERVICE_SIGMA };
                 let mut at_ms = 0.0;
                 loop {
                     at_ms += -(1.0 - rng.random::<f64>()).ln() / (per_ms * share);
@@ -82,8 +82,8 @@
     }
 
     /// The share of the capacity that is left.
-    pub fn remaining(self, shape: &Shape) -> f64 {
-        let zones = shape.regions.len() * ZONES_PER_REGION;
+    pub fn remaining(self) -> f64 {
+        let zones = REGIONS * ZONES_PER_REGION;
         match self {
             Health::Healthy => 1.0,
             Health::ZoneLost => 1.0 - 1.0 / zones as f64,
--- a/foxtail-lab/src/model/world.rs
+++ b/foxtail-lab/src/model/world.rs
@@ -8,7 +8,7 @@
 use super::figures::Tally;
 use super::{Arrival, Figures, Micros, Workload};
 use crate::shape::{
-    REGION_DELAY, SLOTS_PER_UPSTREAM, Shape, UPSTREAMS_PER_SERVICE, ZONE_ROUND_TRIP,
+    REGIONS, SLOTS_PER_UPSTREAM, Shape, UPSTREAMS_PER_SERVICE, UPSTREAMS_PER_ZONE, ZONE_ROUND_TRIP,
     ZONES_PER_REGION,
 };
 
@@ -155,7 +155,7 @@
 
 impl<'a, M> World<'a, M> {
     fn new(shape: &'a Shape, workload: &'a Workload) -> Self {
-        let regions = shape.regions.len();
+        let regions = REGIONS;
         let nodes = |per_zone: usize| {
             let health = workload.health;
             (0..regions * ZONES_PER_REGION * per_zone).map(move |n| {
@@ -164,10 +164,9 @@
                 Node { region, zone, alive: !health.lost(region, zone) }
             })
         };
-        let per_zone = UPSTREAMS_PER_SERVICE / (regions * ZONES_PER_REGION);
         let server = |node, service| Server { node, service, busy: 0, waiting: VecDeque::new() };
         let servers = (0..shape.services.len())
-            .flat_map(|service| nodes(per_zone).map(move |node| server(node, service)))
+            .flat_map(|service| nodes(UPSTREAMS_PER_ZONE).map(move |node| server(node, service)))
             .collect();
         Self {
             now: Micros(0),
@@ -190,7 +189,7 @@
             return Micros(0);
         }
         if a.region != b.region {
-            return REGION_DELAY.into();
+            return self.shape.network.links[0].delay.into();
         }
         if a.zone != b.zone {
             return Micros(ZONE_ROUND_TRIP.0 * 500);
@@ -329,8 +328,8 @@
         if a.region == b.region || self.ways_are_free {
             return self.now + delay;
         }
-        let link = &mut self.links[a.region * self.shape.regions.len() + b.region];
-        let micros = bytes as f64 * 8.0 / f64::from(self.shape.link_mbit_per_s);
+        let link = &mut self.links[a.region * REGIONS + b.region];
+        let micros = bytes as f64 * 8.0 / f64::from(self.shape.network.links[0].mbit_per_s);
         link.free_at = link.free_at.max(self.now) + Micros(micros.ceil() as u64);
         self.tally.crossed(a.region, b.region, bytes, self.now);
         link.free_at + delay
--- a/foxtail-lab/src/shape.rs
+++ b/foxtail-lab/src/shape.rs
@@ -1,44 +1,44 @@
 //! The users' workspaces at their real shape: regions, services, demand and limits.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use foxtail_config::spec::{
-    Link, Network, OnceRule, Region, Service, Snapshot, Upstream, Workspace,
-};
+use foxtail_config::params::NetworkParams;
+use foxtail_config::{Limit, Network, Params, Snapshot, Template, Workspace, compile};
 use foxtail_types::prelude::*;
 
+/// Regions of each user.
+pub const REGIONS: usize = 3;
 /// Zones of a region.
 pub const ZONES_PER_REGION: usize = 2;
+/// Upstreams of a service in a zone.
+pub const UPSTREAMS_PER_ZONE: usize = 2;
 /// Upstreams of a service.
-pub const UPSTREAMS_PER_SERVICE: usize = 12;
+pub const UPSTREAMS_PER_SERVICE: usize = REGIONS * ZONES_PER_REGION * UPSTREAMS_PER_ZONE;
 /// Slots of an upstream.
 pub const SLOTS_PER_UPSTREAM: u32 = 3;
 /// There and back between two zones of a region.
 pub const ZONE_ROUND_TRIP: Millis = Millis(1);
-
-/// One way between two regions.
-pub const REGION_DELAY: Millis = Millis(35);
-const OWNER_SHARDS: u16 = 6;
+/// The standard deviation of the logarithm of service times.
+pub const SERVICE_SIGMA: f64 = 0.5;
 
 /// A user's workspace and the network it runs on.
 #[derive(Clone, Debug)]
 pub struct Shape {
-    /// The workspace's name.
-    pub workspace: &'static str,
-    /// The regions' names.
-    pub regions: [&'static str; 3],
+    /// The template of the workspace.
+    pub template: Template,
+    /// The parameters; the servers' addresses are filled in for each run.
+    pub params: Params,
+    /// The parameters of the network.
+    pub network_params: NetworkParams,
+    /// Regions, zones and links.
+    pub network: Network,
     /// Hosts of the system in each zone.
     pub hosts_per_zone: usize,
     /// There and back between a client and its region.
     pub client_round_trip: Millis,
-    /// The rate of each direction between two regions.
-    pub link_mbit_per_s: u32,
-    /// What archive traffic always gets of it.
-    pub archive_mbit_per_s: u32,
-    /// The most requests a second that one region may send to other regions.
-    pub shift_per_s: u32,
-    /// The services.
+    /// The services, by name.
     pub services: Vec<ServiceShape>,
 }
 
@@ -46,21 +46,21 @@
 #[derive(Clone, Debug)]
 pub struct ServiceShape {
     /// Its name.
-    pub name: &'static str,
+    pub name: String,
     /// The mean time that a request runs.
     pub mean: Millis,
-    /// The standard deviation of the logarithm of that time.
-    pub sigma: f64,
     /// The class of its requests.
     pub class: Class,
     /// How long a caller waits.
     pub deadline: Millis,
     /// The size of an answer.
     pub answer_bytes: u64,
+    /// The most requests that wait for a slot in one region.
+    pub queue_max: usize,
     /// The shares of the demand by region; they add up to one.
-    pub demand: [f64; 3],
-    /// Whether its `POST` requests may never be repeated.
-    pub once: bool,
+    pub demand: [f64; REGIONS],
+    /// The path below which its `POST` requests may never be repeated, if there is one.
+    pub once: Option<String>,
 }
 
 /// A host of the system.
@@ -74,91 +74,97 @@
     pub zone: ZoneId,
 }
 
-const EVEN: [f64; 3] = [1.0 / 3.0, 1.0 / 3.0, 1.0 / 3.0];
-const INTERACTIVE_DEADLINE: Millis = Millis(1_000);
-const ARCHIVE_DEADLINE: Millis = Millis(10_000);
+/// The files of a workspace as its operators have them.
+struct Files {
+    template: &'static str,
+    params: &'static str,
+    network: &'static str,
+}
 
 /// Yayasan Tali Selamat Malaysia: certificates, bookings, timetables, assessments.
 pub fn tali_selamat() -> Shape {
-    Shape {
-        workspace: "tali-selamat",
-        regions: ["peninsula", "sabah", "sarawak"],
-        hosts_per_zone: 3,
-        client_round_trip: Millis(16),
-        link_mbit_per_s: 4_000,
-        archive_mbit_per_s: 200,
-        shift_per_s: 600,
-        services: vec![
-            interactive("certificates", 20, 2_000, false),
-            interactive("bookings", 40, 4_000, true),
-            interactive("timetables", 25, 20_000, false),
-            interactive("assessments", 60, 3_000, true),
-        ],
-    }
+    let files = Files {
+        template: include_str!("../../templates/tali-selamat.template.json"),
+        params: include_str!("../../templates/tali-selamat.params.json"),
+        network: include_str!("../../templates/tali-selamat.network.json"),
+    };
+    Shape::from_files(&files, Millis(16))
 }
 
 /// Fondo Nacional de Restauración Patrimonial: grant rules, treasury, archive, inspections.
 pub fn fondo() -> Shape {
-    Shape {
-        workspace: "fondo",
-        regions: ["pampeana", "cuyo", "noa"],
-        hosts_per_zone: 3,
-        client_round_trip: Millis(2),
-        link_mbit_per_s: 300,
-        archive_mbit_per_s: 30,
-        shift_per_s: 600,
-        services: vec![
-            interactive("grant-rules", 20, 8_000, false),
-            interactive("treasury", 50, 3_000, true),
-            archive("archive", 80, 200_000, [0.5, 0.25, 0.25]),
-            interactive("inspections", 40, 6_000, true),
-        ],
-    }
+    let files = Files {
+        template: include_str!("../../templates/fondo.template.json"),
+        params: include_str!("../../templates/fondo.params.json"),
+        network: include_str!("../../templates/fondo.network.json"),
+    };
+    Shape::from_files(&files, Millis(2))
 }
 
-fn interactive(name: &'static str, mean_ms: u64, answer_bytes: u64, once: bool) -> ServiceShape {
-    ServiceShape {
-        name,
-        mean: Millis(mean_ms),
-        sigma: 0.5,
-        class: Class::Interactive,
-        deadline: INTERACTIVE_DEADLINE,
-        answer_bytes,
-        demand: EVEN,
-        once,
+impl Shape {
+    fn from_files(files: &Files, client_round_trip: Millis) -> Self {
+        let template: Template = parse(files.template);
+        let params: Params = parse(files.params);
+        let network_params: NetworkParams = parse(files.network);
+        let network = compile::network(&network_params).expect("the network is accepted");
+        assert_eq!(network.regions.len(), REGIONS, "each user has as many regions");
+        let shape = |name: &String| service(&template, &params, &network, name);
+        let services = params.services.keys().map(shape).collect();
+        Self {
+            template,
+            params,
+            network_params,
+            network,
+            hosts_per_zone: 3,
+            client_round_trip,
+            services,
+        }
     }
-}
 
-fn archive(name: &'static str, mean_ms: u64, answer_bytes: u64, demand: [f64; 3]) -> ServiceShape {
-    ServiceShape {
-        class: Class::Archive,
-        deadline: ARCHIVE_DEADLINE,
-        demand,
-        ..interactive(name, mean_ms, answer_bytes, false)
+    /// Makes all regions send as much as each other.
+    #[must_use]
+    pub fn with_even_demand(mut self) -> Self {
+        for service in &mut self.services {
+            service.demand = [1.0 / REGIONS as f64; REGIONS];
+        }
+        self
+    }
+
+    /// Sets the shift cap.
+    #[must_use]
+    pub fn with_shift_per_s(mut self, shift_per_s: u64) -> Self {
+        self.params.shift_per_s = Some(shift_per_s);
+        self
+    }
+
+    /// The workspace's name.
+    pub fn workspace_id(&self) -> &WorkspaceId {
+        &self.params.workspace
     }
-}
 
-impl Shape {
     /// The region number `region`.
-    pub fn region(&self, region: usize) -> RegionId {
-        RegionId::new(self.regions[region]).expect("the regions' names are valid")
+    pub fn region(&self, region: usize) -> &RegionId {
+        &self.network.regions[region].id
     }
 
     /// The zone number `zone` of the region number `region`.
-    pub fn zone(&self, region: usize, zone: usize) -> ZoneId {
-        let letter = char::from(b'a' + zone as u8);
-        let text = format!("{}-{letter}", self.regions[region]);
-        ZoneId::new(&text).expect("the zones' names are valid")
+    pub fn zone(&self, region: usize, zone: usize) -> &ZoneId {
+        &self.network.regions[region].zones[zone]
+    }
+
+    /// The numbers of all zones, as region and zone within it.
+    pub fn zones() -> impl Iterator<Item = (usize, usize)> {
+        (0..REGIONS).flat_map(|region| (0..ZONES_PER_REGION).map(move |zone| (region, zone)))
     }
 
     /// The hosts, zone by zone.
     pub fn hosts(&self) -> Vec<HostShape> {
         let mut hosts = Vec::new();
-        for (region, zone) in self.zones() {
+        for (region, zone) in Self::zones() {
             for n in 1..=self.hosts_per_zone {
-                let zone = self.zone(region, zone);
+                let zone = self.zone(region, zone).clone();
                 let id = HostId::new(&format!("{zone}-{n}")).expect("the hosts' names are valid");
-                hosts.push(HostShape { id, region: self.region(region), zone });
+                hosts.push(HostShape { id, region: self.region(region).clone(), zone });
             }
         }
         hosts
@@ -169,89 +175,55 @@
         UPSTREAMS_PER_SERVICE as u32 * SLOTS_PER_UPSTREAM
     }
 
-    /// Regions, zones and links.
-    pub fn network(&self) -> Network {
-        let regions = (0..self.regions.len()).map(|region| Region {
-            id: self.region(region),
-            zones: (0..ZONES_PER_REGION).map(|zone| self.zone(region, zone)).collect(),
-        });
-        Network { regions: regions.collect(), links: self.links(), owner_shards: OWNER_SHARDS }
+    /// The parameters with the servers at these addresses: by service, then zone by zone.
+    pub fn params_with(&self, addrs: &[Vec<SocketAddr>]) -> Params {
+        let mut params = self.params.clone();
+        for (service, addrs) in params.services.values_mut().zip(addrs) {
+            let zones = Self::zones().map(|(region, zone)| self.zone(region, zone).to_string());
+            let servers = addrs.chunks(UPSTREAMS_PER_ZONE).map(<[SocketAddr]>::to_vec);
+            service.servers = zones.zip(servers).collect::<BTreeMap<_, _>>();
+        }
+        params
     }
 
-    /// The workspace, with each upstream at the address that `addr` gives for it.
-    pub fn workspace(&self, addr: &dyn Fn(&UpstreamId) -> SocketAddr) -> Workspace {
-        let mut services: Vec<Service> =
-            self.services.iter().map(|service| self.service(service, addr)).collect();
-        services.sort_by(|a, b| a.id.cmp(&b.id));
-        Workspace {
-            id: WorkspaceId::new(self.workspace).expect("the workspace's name is valid"),
-            version: Version(1),
-            services,
-            shift_per_s: self.shift_per_s,
-        }
+    /// The workspace as hosts use it.
+    pub fn workspace(&self, addrs: &[Vec<SocketAddr>]) -> Workspace {
+        let params = self.params_with(addrs);
+        let compiled = compile::workspace(&self.template, &params, &self.network);
+        Workspace { version: Version(1), ..compiled.expect("the workspace is accepted") }
     }
 
     /// The whole configuration.
-    pub fn snapshot(&self, addr: &dyn Fn(&UpstreamId) -> SocketAddr) -> Snapshot {
+    pub fn snapshot(&self, addrs: &[Vec<SocketAddr>]) -> Snapshot {
         Snapshot {
             version: Version(1),
-            network: Arc::new(self.network()),
-            workspaces: vec![Arc::new(self.workspace(addr))],
+            network: Arc::new(self.network.clone()),
+            workspaces: vec![Arc::new(self.workspace(addrs))],
             drains: Vec::new(),
         }
     }
+}
 
-    fn zones(&self) -> impl Iterator<Item = (usize, usize)> + use<> {
-        (0..self.regions.len()).flat_map(|region| (0..ZONES_PER_REGION).map(move |z| (region, z)))
-    }
-
-    fn links(&self) -> Vec<Link> {
-        let mut links = Vec::new();
-        for from in 0..self.regions.len() {
-            for to in (0..self.regions.len()).filter(|to| *to != from) {
-                links.push(Link {
-                    id: LinkId { from: self.region(from), to: self.region(to) },
-                    mbit_per_s: self.link_mbit_per_s,
-                    delay: REGION_DELAY,
-                    archive_mbit_per_s: self.archive_mbit_per_s,
-                });
-            }
-        }
-        links
-    }
-
-    fn service(&self, service: &ServiceShape, addr: &dyn Fn(&UpstreamId) -> SocketAddr) -> Service {
-        let once = OnceRule { method: "POST".to_owned(), path: "/".to_owned() };
-        Service {
-            id: ServiceId::new(service.name).expect("the services' names are valid"),
-            upstreams: self.upstreams(service.name, addr),
-            class: service.class,
-            deadline: service.deadline,
-            deadline_max: service.deadline * 10,
-            body_max_bytes: 1 << 20,
-            answer_bytes: service.answer_bytes,
-            queue_max: 400,
-            once: if service.once { vec![once] } else { Vec::new() },
-        }
-    }
+fn parse<T: serde::de::DeserializeOwned>(text: &str) -> T {
+    serde_json::from_str(text).expect("the file has the right shape")
+}
 
-    fn upstreams(&self, service: &str, addr: &dyn Fn(&UpstreamId) -> SocketAddr) -> Vec<Upstream> {
-        let per_zone = UPSTREAMS_PER_SERVICE / (self.regions.len() * ZONES_PER_REGION);
-        let mut upstreams = Vec::new();
-        for (region, zone) in self.zones() {
-            for n in 1..=per_zone {
-                let zone = self.zone(region, zone);
-                let text = format!("{service}-{zone}-{n}");
-                let id = UpstreamId::new(&text).expect("the upstreams' names are valid");
-                upstreams.push(Upstream {
-                    addr: addr(&id),
-                    id,
-                    region: self.region(region),
-                    zone,
-                    slots: SLOTS_PER_UPSTREAM,
-                });
-            }
-        }
-        upstreams
+fn service(template: &Template, params: &Params, network: &Network, name: &str) -> ServiceShape {
+    let spec = &template.services[name];
+    let given = &params.services[name];
+    let limit =
+        |limit: Limit| given.limits.get(&limit).copied().unwrap_or(spec.limits[&limit].default);
+    let expected: Vec<u64> =
+        network.regions.iter().map(|region| given.expected_per_s[region.id.as_str()]).collect();
+    let total: u64 = expected.iter().sum();
+    ServiceShape {
+        name: name.to_owned(),
+        mean: Millis(limit(Limit::ServiceMs)),
+        class: spec.class,
+        deadline: Millis(limit(Limit::DeadlineMs)),
+        answer_bytes: limit(Limit::AnswerBytes),
+        queue_max: limit(Limit::QueueMax) as usize,
+        demand: std::array::from_fn(|region| expected[region] as f64 / total as f64),
+        once: spec.never_repeat.first().map(|rule| rule.path.clone()),
     }
 }
