--- a/foxtail-net/src/http.rs
+++ b/foxtail-net/src/http.rs
@@ -10,6 +10,7 @@
 use foxtail_time::Millis;
 use futures::future::BoxFuture;
 use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
 use hyper::Uri;
 use hyper::rt::ReadBufCursor;
 use hyper_util::client::legacy::Client as LegacyClient;
@@ -117,6 +118,11 @@
         .build(Connector { dial })
 }
 
+/// A whole body held in memory.
+pub fn body_of(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
 fn address(uri: &Uri) -> io::Result<SocketAddr> {
     let text = uri.authority().map_or("", |authority| authority.as_str());
     text.parse().map_err(|_| {
--- a/foxtail-place/src/map.rs
+++ b/foxtail-place/src/map.rs
@@ -129,6 +129,12 @@
         Ok(Self { version, sites, v4, v6 })
     }
 
+    /// A map without blocks: the site of every client is unknown.
+    pub fn empty() -> Self {
+        let (v4, v6) = (V4::collect([].into_iter()), V6::collect([].into_iter()));
+        Self { version: Version::default(), sites: Vec::new(), v4, v6 }
+    }
+
     /// The site of `addr`.
     pub fn find(&self, addr: IpAddr) -> Option<&Site> {
         let index = match addr {
--- a/foxtail-wire/src/peer.rs
+++ b/foxtail-wire/src/peer.rs
@@ -6,6 +6,8 @@
 
 use async_trait::async_trait;
 use foxtail_member::msg::{Delta, Pull};
+use foxtail_retry::msg::{Ask, Done, Leave, News};
+use foxtail_sync::msg as config;
 use foxtail_time::Millis;
 use futures::StreamExt;
 use tarpc::context::Context;
@@ -25,6 +27,16 @@
 pub trait Peer {
     /// Exchanges what is known of hosts.
     async fn pull(req: Pull) -> Delta;
+    /// Spreads configuration.
+    async fn config(req: config::Ask) -> config::Answer;
+    /// Asks leave for an attempt of a request.
+    async fn guard(req: Ask) -> Leave;
+    /// Tells that an attempt has ended.
+    async fn done(req: Done);
+    /// Tells of crash suspects; `forward` asks to pass it on within the zone.
+    async fn news(news: Vec<News>, forward: bool);
+    /// Asks for all that is known of crash suspects.
+    async fn all_news() -> Vec<News>;
 }
 
 /// The port behind the service: what the live host does with each message.
@@ -32,21 +44,57 @@
 pub trait Handler: Send + Sync {
     /// Answers a pull.
     async fn pull(&self, req: Pull) -> Delta;
+    /// Answers about configuration.
+    async fn config(&self, req: config::Ask) -> config::Answer;
+    /// Answers whether an attempt may be made.
+    async fn guard(&self, req: Ask) -> Leave;
+    /// Takes note of the end of an attempt.
+    async fn done(&self, req: Done);
+    /// Takes in news of crash suspects.
+    async fn news(&self, news: Vec<News>, forward: bool);
+    /// Tells all that is known of crash suspects.
+    async fn all_news(&self) -> Vec<News>;
+}
+
+#[derive(Clone)]
+struct Server {
+    handler: Arc<dyn Handler>,
+}
+
+impl Peer for Server {
+    async fn pull(self, _cx: Context, req: Pull) -> Delta {
+        self.handler.pull(req).await
+    }
+
+    async fn config(self, _cx: Context, req: config::Ask) -> config::Answer {
+        self.handler.config(req).await
+    }
+
+    async fn guard(self, _cx: Context, req: Ask) -> Leave {
+        self.handler.guard(req).await
+    }
+
+    async fn done(self, _cx: Context, req: Done) {
+        self.handler.done(req).await;
+    }
+
+    async fn news(self, _cx: Context, news: Vec<News>, forward: bool) {
+        self.handler.news(news, forward).await;
+    }
+
+    async fn all_news(self, _cx: Context) -> Vec<News> {
+        self.handler.all_news().await
+    }
 }
 
 /// Serves [`Peer`] on `listener` until `stop`, then ends every connection and returns.
 pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, stop: CancellationToken) {
     let tasks = TaskTracker::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
+    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
         match accepted {
             Ok((stream, from)) => {
-                let task = connection(stream, from, Arc::clone(&handler), tasks.clone());
-                let stop = stop.clone();
-                tasks.spawn(async move { stop.run_until_cancelled(task).await });
+                let task = connection(stream, from, Arc::clone(&handler), stop.clone());
+                tasks.spawn(task);
             }
             Err(e) => {
                 tracing::warn!(event = "peer_accept_failed", error = %e);
@@ -58,33 +106,21 @@
     tasks.wait().await;
 }
 
-#[derive(Clone)]
-struct Server {
-    handler: Arc<dyn Handler>,
-}
-
-impl Peer for Server {
-    async fn pull(self, _cx: Context, req: Pull) -> Delta {
-        self.handler.pull(req).await
-    }
-}
-
+/// Serves one connection; ends, with all answers in the making, when `stop` is called.
 async fn connection(
     stream: TcpStream,
     from: SocketAddr,
     handler: Arc<dyn Handler>,
-    tasks: TaskTracker,
+    stop: CancellationToken,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         log_lost(from, &e);
         return;
     }
     let transport = tarpc::serde_transport::new(Framed::new(stream, frames()), Postcard);
-    let mut requests =
-        Box::pin(BaseChannel::with_defaults(transport).execute(Server { handler }.serve()));
-    while let Some(answering) = requests.next().await {
-        tasks.spawn(answering);
-    }
+    let requests = BaseChannel::with_defaults(transport).execute(Server { handler }.serve());
+    let answering = requests.for_each_concurrent(None, |answering| answering);
+    stop.run_until_cancelled(answering).await;
 }
 
 fn log_lost(from: SocketAddr, e: &io::Error) {
