--- a/foxtail-member/src/members.rs
+++ b/foxtail-member/src/members.rs
@@ -15,8 +15,11 @@
 pub const PULL_EVERY: Millis = Millis(500);
 /// How long a relay waits for a host's word before it suspects it.
 pub const SUSPECT_AFTER: Millis = Millis(3_000);
-/// How long the hosts of a zone count as live after one of the zone's relays last vouched for them.
+/// How long the hosts of a zone of the own region count as live after one of the zone's relays last
+/// vouched for them.
 pub const VOUCHED_FOR: Millis = Millis(5_000);
+/// The same for zones of other regions, of which word comes more slowly.
+pub const VOUCHED_FOR_ELSEWHERE: Millis = Millis(8_000);
 /// How long a host that did not answer is not asked again.
 pub const AVOID_FOR: Millis = Millis(3_000);
 /// How long a suspect that is gone from the platform's list is remembered.
@@ -106,6 +109,7 @@
     /// Answers another host's pull.
     pub fn answer(&mut self, pull: &Pull, now: Millis) -> Delta {
         self.hear(&pull.from, now);
+        self.note_direct(&pull.from, now);
         let own = self.own().clone();
         let since = match pull.since.incarnation == own.identity.incarnation {
             true => pull.since.revision,
@@ -129,6 +133,7 @@
         self.hear(&delta.from, now);
         let from = delta.from.identity.id.clone();
         self.avoid.remove(&from);
+        self.records.entry(from.clone()).and_modify(|record| record.failing = None);
         for entry in &delta.entries {
             if entry.identity.id != self.me {
                 self.take(entry, now);
@@ -145,6 +150,9 @@
     /// Notes that `host` did not answer.
     pub fn pull_failed(&mut self, host: &HostId, now: Millis) {
         self.avoid.insert(host.clone(), now + AVOID_FOR);
+        if let Some(record) = self.records.get_mut(host) {
+            record.failing.get_or_insert(now);
+        }
     }
 
     /// The fleet as this host sees it now.
@@ -159,7 +167,7 @@
 
     fn member(&self, record: &Record, now: Millis) -> Member {
         let Entry { identity, status, suspect, .. } = record.entry.clone();
-        let suspect = suspect || (identity.id != self.me && !self.is_vouched(&identity.zone, now));
+        let suspect = suspect || (identity.id != self.me && !self.is_vouched(&identity, now));
         Member {
             leaving: record.listed_leaving || status.phase == Phase::Leaving,
             serving_since: record.serving_since,
@@ -169,8 +177,10 @@
         }
     }
 
-    fn is_vouched(&self, zone: &ZoneId, now: Millis) -> bool {
-        self.vouched.get(zone).is_some_and(|at| now.since(*at) <= VOUCHED_FOR)
+    fn is_vouched(&self, identity: &Identity, now: Millis) -> bool {
+        let near = identity.region == self.own().identity.region;
+        let span = if near { VOUCHED_FOR } else { VOUCHED_FOR_ELSEWHERE };
+        self.vouched.get(&identity.zone).is_some_and(|at| now.since(*at) <= span)
     }
 
     fn list_one(&mut self, host: &HostEntry, now: Millis) {
@@ -194,17 +204,22 @@
         }
         let entry = Entry { suspect: false, ..entry.clone() };
         self.take(&entry, now);
-        if let Some(record) = self.records.get_mut(&entry.identity.id)
-            && record.entry.seq == entry.seq
-            && record.entry.identity.incarnation == entry.identity.incarnation
-        {
-            record.direct = Some(now);
-        }
         if entry.identity.zone == self.own().identity.zone {
             self.vouched.insert(entry.identity.zone, now);
         }
     }
 
+    /// Notes that a host of the own zone, which pulls from this one, is there.
+    fn note_direct(&mut self, entry: &Entry, now: Millis) {
+        if entry.identity.zone != self.own().identity.zone {
+            return;
+        }
+        if let Some(record) = self.records.get_mut(&entry.identity.id) {
+            record.direct = Some(now);
+            record.failing = None;
+        }
+    }
+
     /// Takes a word on any host, from whomever. Only a change worth passing on raises the revision,
     /// and so does a suspicion that this host knows better than.
     fn take(&mut self, entry: &Entry, now: Millis) {
@@ -235,17 +250,14 @@
         }
     }
 
-    /// Suspects hosts that spoke to this one and fell silent; forgets those long gone.
+    /// As a relay, suspects hosts of the own zone that fell silent; forgets hosts long gone.
+    ///
+    /// Only relays suspect, because a wrong suspicion comes to the notice of the other relays, who
+    /// know better and say so.
     fn expire(&mut self, now: Millis) {
         let me = self.me.clone();
-        for record in self.records.values_mut().filter(|record| record.entry.identity.id != me) {
-            let silent = record.direct.is_some_and(|at| now.since(at) > SUSPECT_AFTER);
-            if silent && !record.entry.suspect {
-                self.revision += 1;
-                record.entry.suspect = true;
-                record.revision = self.revision;
-                record.direct = None;
-            }
+        if self.relays(&self.own().identity.zone, now).contains(&me) {
+            self.suspect_silent(now);
         }
         self.avoid.retain(|_, until| *until > now);
         self.records.retain(|id, record| {
@@ -254,6 +266,21 @@
         });
     }
 
+    fn suspect_silent(&mut self, now: Millis) {
+        let zone = self.own().identity.zone.clone();
+        let near = self.records.values_mut().filter(|record| record.entry.identity.zone == zone);
+        for record in near.filter(|record| record.entry.identity.id != self.me) {
+            let long_ago = |at: Option<Millis>| at.is_some_and(|at| now.since(at) > SUSPECT_AFTER);
+            let silent = long_ago(record.direct) || long_ago(record.failing);
+            if silent && !record.entry.suspect {
+                self.revision += 1;
+                record.entry.suspect = true;
+                record.revision = self.revision;
+                (record.direct, record.failing) = (None, None);
+            }
+        }
+    }
+
     /// Whom to pull from in this period.
     fn targets(&self, now: Millis) -> Vec<(HostId, Scope)> {
         let own = &self.own().identity;
--- a/foxtail-member/src/record.rs
+++ b/foxtail-member/src/record.rs
@@ -11,8 +11,10 @@
     pub(crate) entry: Entry,
     /// The local revision of the last change worth passing on.
     pub(crate) revision: u64,
-    /// When the host itself last spoke to this host.
+    /// When the host last pulled from this host.
     pub(crate) direct: Option<Millis>,
+    /// Since when pulls from it fail.
+    pub(crate) failing: Option<Millis>,
     /// When it was first seen serving.
     pub(crate) serving_since: Option<Millis>,
     /// The platform's list says that it is leaving.
@@ -24,8 +26,15 @@
 impl Record {
     pub(crate) fn new(entry: Entry, revision: u64, now: Millis) -> Self {
         let serving_since = (entry.status.phase == Phase::Serving).then_some(now);
-        let (direct, listed_leaving) = (None, false);
-        Self { entry, revision, direct, serving_since, listed_leaving, listed: now }
+        Self {
+            entry,
+            revision,
+            direct: None,
+            failing: None,
+            serving_since,
+            listed_leaving: false,
+            listed: now,
+        }
     }
 
     /// A host known from the list alone: nothing is known of its state yet.
@@ -45,7 +54,7 @@
         }
         let restarted = entry.identity.incarnation != self.entry.identity.incarnation;
         if restarted {
-            self.direct = None;
+            (self.direct, self.failing) = (None, None);
             self.listed_leaving = false;
         }
         match entry.status.phase {
