--- a/foxtail-member/tests/members.rs
+++ b/foxtail-member/tests/members.rs
@@ -1,11 +1,9 @@
 //! Membership of many hosts under losses.
 
-mod support;
-
 use foxtail_member::members::{PULL_EVERY, SUSPECT_AFTER, VOUCHED_FOR_ELSEWHERE};
 use foxtail_platform::HostState;
+use foxtail_standin::members::{Fleet, identity, listed};
 use foxtail_types::prelude::*;
-use support::{Fleet, identity, listed};
 
 /// A host that dies is out of every other host's view within this time.
 const DEAD_SEEN_WITHIN: Millis = Millis(6_000);
@@ -136,7 +134,7 @@
 fn nothing_is_passed_on_while_nothing_changes() {
     let mut fleet = Fleet::new(3, 3);
     fleet.run(Millis::secs(20));
-    fleet.entries = 0;
+    fleet.reset();
     fleet.run(Millis::secs(20));
-    assert_eq!(fleet.entries, 0);
+    assert_eq!(fleet.entries(), 0);
 }
--- a/foxtail-node/src/fleet.rs
+++ b/foxtail-node/src/fleet.rs
@@ -38,6 +38,16 @@
         Arc::new(Self { members: Mutex::new(members), view, peers, sending, own })
     }
 
+    /// This host.
+    pub(crate) fn me(&self) -> &HostId {
+        &self.own.id
+    }
+
+    /// This host's region.
+    pub(crate) fn region(&self) -> &RegionId {
+        &self.own.region
+    }
+
     /// The address of `host` for other hosts.
     pub(crate) fn addr(&self, host: &HostId) -> Option<SocketAddr> {
         self.view.load().get(host).map(|member| member.identity.peer)
--- a/foxtail-node/src/lib.rs
+++ b/foxtail-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller;
 pub mod decisions;
 mod fleet;
+mod keys;
 mod members;
 mod metrics;
 pub mod node;
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -25,6 +25,7 @@
 use crate::caller::serve_callers;
 use crate::decisions::{Decision, Decisions};
 use crate::fleet::{Fleet, WatchPeers};
+use crate::keys::Keys;
 use crate::metrics::Metrics;
 use crate::peer::PeerHandler;
 use crate::settings::Settings;
@@ -138,6 +139,7 @@
         tokio::time::sleep(options.settle.duration()).await;
         self.stop_callers.cancel();
         let cut_off = self.finish(options.finish).await;
+        self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
         self.stop_control.cancel();
@@ -179,6 +181,8 @@
         self.control.spawn(members::pull(Arc::clone(state), stop.clone()));
         let (spread, stopped) = (Arc::clone(&state.spread), stop.clone());
         self.control.spawn(async move { spread.run(stopped).await });
+        let (keys, stopped) = (Arc::clone(state), stop.clone());
+        self.control.spawn(async move { keys.keys.run(&keys.fleet, stopped).await });
         let list = Arc::clone(&platform.hosts);
         self.control.spawn(members::list(Arc::clone(state), list, stop.clone()));
         self.control.spawn(ready::make_ready(Arc::clone(state), stop.clone()));
@@ -215,6 +219,7 @@
         roster: Arc::clone(&fleet) as Arc<dyn foxtail_sync::Roster>,
         clock: Arc::clone(&ports.clock),
     });
+    let keys = Keys::start(&fleet, &platform.table, &platform.objects, &ports.clock);
     let watch = Watch::new(
         settings.host.clone(),
         Arc::clone(&ports.clock),
@@ -230,7 +235,8 @@
         directory: ArcSwapOption::empty(),
         blocks: ArcSwap::from_pointee(BlockMap::empty()),
         limiter: todo_limiter(platform),
-        gate: todo_gate(platform),
+        gate: Arc::clone(&keys.claims) as Arc<dyn foxtail_once::Gate>,
+        keys,
         watch,
         crashes: Detector::default(),
         budgets: Budgets::new(budget::Options::default()),
@@ -269,14 +275,6 @@
     Ok((listener, local))
 }
 
-fn todo_config(
-    _: &Platform,
-) -> tokio::sync::watch::Receiver<Option<Arc<foxtail_config::Snapshot>>> {
-    unreachable!()
-}
 fn todo_limiter(_: &Platform) -> Arc<dyn foxtail_limit::Limiter> {
     unreachable!()
 }
-fn todo_gate(_: &Platform) -> Arc<dyn foxtail_once::Gate> {
-    unreachable!()
-}
--- a/foxtail-node/src/peer.rs
+++ b/foxtail-node/src/peer.rs
@@ -4,7 +4,9 @@
 
 use async_trait::async_trait;
 use foxtail_member::msg::{Delta, Pull};
-use foxtail_retry::msg::{Ask, Done, Leave, News};
+use foxtail_once::commit::Done;
+use foxtail_once::relay::msg::Relayed;
+use foxtail_retry::msg::{self as retry, Ask, Leave, News};
 use foxtail_sync::msg as config;
 use foxtail_wire::peer::Handler;
 
@@ -30,7 +32,7 @@
         self.state.watch.serve(req).await
     }
 
-    async fn done(&self, req: Done) {
+    async fn done(&self, req: retry::Done) {
         self.state.watch.done(req);
     }
 
@@ -46,4 +48,8 @@
     async fn all_news(&self) -> Vec<News> {
         self.state.watch.news()
     }
+
+    async fn commit(&self, relayed: Relayed) -> Done {
+        self.state.keys.commit(relayed).await
+    }
 }
--- a/foxtail-node/src/serve/attempts.rs
+++ b/foxtail-node/src/serve/attempts.rs
@@ -36,7 +36,7 @@
             Err(refused) => return Err(last.unwrap_or(refused)),
         };
         let verdict = match tries.send(ready).await {
-            Attempt::Answer(answer, run) => match pass(*answer, run, held).await {
+            Attempt::Answer(answer) => match pass(*answer, held).await {
                 Passed::On(answer) => {
                     let meta = &call.meta;
                     state.budgets.succeeded(&meta.workspace, &meta.service, state.clock.now());
@@ -63,7 +63,7 @@
 }
 
 /// Takes a small answer whole; lets a large one through as it comes.
-async fn pass(answer: Response<Incoming>, mut run: Run, held: Held) -> Passed {
+async fn pass((answer, mut run): (Response<Incoming>, Run), held: Held) -> Passed {
     let (mut parts, body) = answer.into_parts();
     strip_hop_by_hop(&mut parts.headers);
     if body.size_hint().upper().is_none_or(|size| size > WHOLE_MAX_BYTES) {
--- a/foxtail-node/src/serve/call.rs
+++ b/foxtail-node/src/serve/call.rs
@@ -26,6 +26,7 @@
 const DEADLINE_MS: &str = "x-foxtail-deadline-ms";
 const CLASS: &str = "x-foxtail-class";
 const KEY: &str = "x-foxtail-key";
+const RESENT: &str = "x-foxtail-resent";
 /// What the smallest body counts for in memory, in bytes.
 const BODY_MIN_BYTES: u64 = 1_024;
 
@@ -36,6 +37,8 @@
     pub(crate) meta: Meta,
     /// The caller's address.
     pub(crate) from: IpAddr,
+    /// Whether the caller says that it sent this key before.
+    pub(crate) resent: bool,
     service: usize,
 }
 
@@ -66,7 +69,8 @@
             repeat: repeat(found, parts)?,
         };
         let (snapshot, workspace) = (Arc::clone(snapshot), Arc::clone(spec));
-        Ok(Self { snapshot, workspace, meta, from, service: index })
+        let resent = text(headers, RESENT)?.is_some_and(|value| value != "0");
+        Ok(Self { snapshot, workspace, meta, from, resent, service: index })
     }
 
     /// The service as configured.
--- a/foxtail-node/src/serve/once.rs
+++ b/foxtail-node/src/serve/once.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use foxtail_limit::Verdict;
 use foxtail_net::http::{Body, BodyError, body_of};
-use foxtail_once::{Answer, Begin};
+use foxtail_once::{Answer, Ask, Begin};
 use foxtail_types::outcome::Reason;
 use foxtail_types::prelude::*;
 use futures::SinkExt;
@@ -61,7 +61,14 @@
     async fn run(&self, key: Key, tx: Reply) {
         let meta = &self.call.meta;
         let print = self.call.fingerprint(&self.outgoing);
-        let begun = self.state.gate.begin(&meta.workspace, key, print, meta.deadline).await;
+        let ask = Ask {
+            workspace: &meta.workspace,
+            key,
+            print,
+            resent: self.call.resent,
+            deadline: meta.deadline,
+        };
+        let begun = self.state.gate.begin(ask).await;
         let result = match begun {
             Begin::Run(attempt) => return self.attempt(attempt, tx).await,
             Begin::Replay(answer) => replay(answer),
@@ -87,7 +94,9 @@
                 return self.release(attempt, refused, tx).await;
             }
             match tries.send(ready).await {
-                Attempt::Answer(answer, run) => return self.answer(attempt, *answer, run, tx).await,
+                Attempt::Answer(answer) => {
+                    return self.answer(attempt, *answer, tx).await;
+                }
                 Attempt::Lost(verdict) => {
                     tracing::warn!(event = "attempt_lost", request = %call.meta.id, ?verdict);
                     return self.lose(attempt, tx).await;
@@ -115,8 +124,7 @@
     async fn answer(
         &self,
         attempt: foxtail_once::Attempt,
-        answer: Response<Incoming>,
-        mut run: Run,
+        (answer, mut run): (Response<Incoming>, Run),
         tx: Reply,
     ) {
         let (mut parts, body) = answer.into_parts();
--- a/foxtail-node/src/state.rs
+++ b/foxtail-node/src/state.rs
@@ -20,6 +20,7 @@
 
 use crate::decisions::Decisions;
 use crate::fleet::Fleet;
+use crate::keys::Keys;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
@@ -35,6 +36,7 @@
     pub(crate) blocks: ArcSwap<BlockMap>,
     pub(crate) limiter: Arc<dyn Limiter>,
     pub(crate) gate: Arc<dyn Gate>,
+    pub(crate) keys: Keys,
     pub(crate) watch: Watch,
     pub(crate) crashes: Detector,
     pub(crate) budgets: Budgets,
--- a/foxtail-node/src/upstream.rs
+++ b/foxtail-node/src/upstream.rs
@@ -41,7 +41,7 @@
 /// How an attempt ended.
 pub(crate) enum Attempt {
     /// The head of an answer; its body is still to come.
-    Answer(Box<Response<Incoming>>, Run),
+    Answer(Box<(Response<Incoming>, Run)>),
     /// It provably did not run.
     NotSent(Verdict),
     /// It may have run.
@@ -76,7 +76,7 @@
             run.heard(load(answer.headers()), answer.status().is_server_error());
             match refused(&answer) {
                 Some(verdict) => not_sent(run, verdict).await,
-                None => Attempt::Answer(Box::new(answer), run),
+                None => Attempt::Answer(Box::new((answer, run))),
             }
         }
     }
--- a/foxtail-standin/src/lib.rs
+++ b/foxtail-standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform, upstreams and network, for tests and experiments.
 
+pub mod members;
 pub mod net;
 pub mod platform;
 pub mod upstream;
--- a/foxtail-wire/src/peer.rs
+++ b/foxtail-wire/src/peer.rs
@@ -6,7 +6,9 @@
 
 use async_trait::async_trait;
 use foxtail_member::msg::{Delta, Pull};
-use foxtail_retry::msg::{Ask, Done, Leave, News};
+use foxtail_once::commit::Done;
+use foxtail_once::relay::msg::Relayed;
+use foxtail_retry::msg::{self as retry, Ask, Leave, News};
 use foxtail_sync::msg as config;
 use foxtail_time::Millis;
 use futures::StreamExt;
@@ -32,11 +34,13 @@
     /// Asks leave for an attempt of a request.
     async fn guard(req: Ask) -> Leave;
     /// Tells that an attempt has ended.
-    async fn done(req: Done);
+    async fn done(req: retry::Done);
     /// Tells of crash suspects; `forward` asks to pass it on within the zone.
     async fn news(news: Vec<News>, forward: bool);
     /// Asks for all that is known of crash suspects.
     async fn all_news() -> Vec<News>;
+    /// Has a write of at-most-once execution committed together with others.
+    async fn commit(relayed: Relayed) -> Done;
 }
 
 /// The port behind the service: what the live host does with each message.
@@ -49,11 +53,13 @@
     /// Answers whether an attempt may be made.
     async fn guard(&self, req: Ask) -> Leave;
     /// Takes note of the end of an attempt.
-    async fn done(&self, req: Done);
+    async fn done(&self, req: retry::Done);
     /// Takes in news of crash suspects.
     async fn news(&self, news: Vec<News>, forward: bool);
     /// Tells all that is known of crash suspects.
     async fn all_news(&self) -> Vec<News>;
+    /// Commits a write.
+    async fn commit(&self, relayed: Relayed) -> Done;
 }
 
 #[derive(Clone)]
@@ -74,7 +80,7 @@
         self.handler.guard(req).await
     }
 
-    async fn done(self, _cx: Context, req: Done) {
+    async fn done(self, _cx: Context, req: retry::Done) {
         self.handler.done(req).await;
     }
 
@@ -85,6 +91,10 @@
     async fn all_news(self, _cx: Context) -> Vec<News> {
         self.handler.all_news().await
     }
+
+    async fn commit(self, _cx: Context, relayed: Relayed) -> Done {
+        self.handler.commit(relayed).await
+    }
 }
 
 /// Serves [`Peer`] on `listener` until `stop`, then ends every connection and returns.
