--- /dev/null
+++ b/foxtail-place/tests/map.rs
@@ -0,0 +1,144 @@
+//! The compiled block map against a scan of the list of blocks.
+
+mod support;
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+
+use foxtail_place::delta::{Change, Delta};
+use foxtail_place::map::Error;
+use foxtail_place::{Block, BlockMap, Site, SiteIndex};
+use foxtail_types::prelude::*;
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use proptest::prelude::*;
+
+const SITES: u16 = 5;
+
+fn sites() -> Vec<Site> {
+    let region = |i| RegionId::new(&format!("region-{i}")).unwrap();
+    (0..SITES).map(|i| Site { region: region(i), zone: None }).collect()
+}
+
+/// Nets that nest and meet often: few distinct addresses, many lengths.
+fn net() -> impl Strategy<Value = IpNet> {
+    let v4 = (0u8..4, any::<u16>(), 0u8..=32).prop_map(|(a, b, len)| {
+        let addr = Ipv4Addr::from([10, a, (b >> 8) as u8 & 3, b as u8]);
+        IpNet::V4(Ipv4Net::new(addr, len).unwrap().trunc())
+    });
+    let v6 = (any::<u64>(), 0u8..=64).prop_map(|(bits, len)| {
+        let bits = 0x2001_0db8_0000_0000 | (bits & 0x0003_00ff);
+        let addr = Ipv6Addr::from_bits(u128::from(bits) << 64);
+        IpNet::V6(Ipv6Net::new(addr, len).unwrap().trunc())
+    });
+    prop_oneof![v4, v6]
+}
+
+fn blocks() -> impl Strategy<Value = Vec<Block>> {
+    prop::collection::btree_map(net(), 0..SITES, 0..40).prop_map(|nets| {
+        nets.into_iter().map(|(net, site)| Block { net, site: SiteIndex(site) }).collect()
+    })
+}
+
+/// The addresses at and next to the edges of all nets: where a map can go wrong.
+fn edges(nets: impl Iterator<Item = IpNet>) -> Vec<IpAddr> {
+    let mut out = vec![
+        IpAddr::V4(Ipv4Addr::UNSPECIFIED),
+        IpAddr::V4(Ipv4Addr::BROADCAST),
+        IpAddr::V6(Ipv6Addr::UNSPECIFIED),
+        IpAddr::V6(Ipv6Addr::from_bits(u128::MAX)),
+    ];
+    for net in nets {
+        match (net.network(), net.broadcast()) {
+            (IpAddr::V4(first), IpAddr::V4(last)) => {
+                let (first, last) = (first.to_bits(), last.to_bits());
+                let bits = [first.wrapping_sub(1), first, last, last.wrapping_add(1)];
+                out.extend(bits.map(|bits| IpAddr::V4(Ipv4Addr::from_bits(bits))));
+            }
+            (IpAddr::V6(first), IpAddr::V6(last)) => {
+                let (first, last) = (first.to_bits(), last.to_bits());
+                let bits = [first.wrapping_sub(1), first, last, last.wrapping_add(1)];
+                out.extend(bits.map(|bits| IpAddr::V6(Ipv6Addr::from_bits(bits))));
+            }
+            _ => unreachable!("a net has one family"),
+        }
+    }
+    out.retain(|addr| !matches!(addr, IpAddr::V6(addr) if addr.to_ipv4_mapped().is_some()));
+    out
+}
+
+fn scan(blocks: &[Block], addr: IpAddr) -> Option<SiteIndex> {
+    let hits = blocks.iter().filter(|block| block.net.contains(&addr));
+    hits.max_by_key(|block| block.net.prefix_len()).map(|block| block.site)
+}
+
+fn site(map: &BlockMap, addr: IpAddr) -> Option<SiteIndex> {
+    let found = map.find(addr)?;
+    map.sites().iter().position(|site| site == found).map(|at| SiteIndex(at as u16))
+}
+
+#[test]
+fn finds_what_a_scan_finds() {
+    support::runner(150)
+        .run(&blocks(), |blocks| {
+            let map = BlockMap::build(Version(1), sites(), &blocks).unwrap();
+            let copy = BlockMap::from_bytes(&map.to_bytes()).unwrap();
+            prop_assert_eq!(&copy, &map);
+            for addr in edges(blocks.iter().map(|block| block.net)) {
+                prop_assert_eq!(site(&map, addr), scan(&blocks, addr), "{}", addr);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_delta_moves_whole_blocks_in_order() {
+    let changes = prop::collection::vec((net(), prop::option::of(0..SITES)), 0..20);
+    support::runner(60)
+        .run(&(blocks(), changes), |(blocks, changes)| {
+            let map = BlockMap::build(Version(1), sites(), &blocks).unwrap();
+            let changes: Vec<Change> = changes
+                .into_iter()
+                .map(|(net, site)| Change { net, site: site.map(SiteIndex) })
+                .collect();
+            let delta = Delta { base: Version(1), next: Version(2), changes };
+            let next = delta.apply(&map).unwrap();
+            let nets = blocks.iter().map(|it| it.net).chain(delta.changes.iter().map(|it| it.net));
+            for addr in edges(nets) {
+                let last = delta.changes.iter().rev().find(|change| change.net.contains(&addr));
+                let expected = last.map_or_else(|| scan(&blocks, addr), |change| change.site);
+                prop_assert_eq!(site(&next, addr), expected, "{}", addr);
+            }
+            prop_assert_eq!(BlockMap::from_bytes(&next.to_bytes()).unwrap(), next);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn damaged_bytes_are_refused() {
+    let block = Block { net: "10.0.0.0/8".parse().unwrap(), site: SiteIndex(1) };
+    let map = BlockMap::build(Version(1), sites(), &[block]).unwrap();
+    let buf = map.to_bytes();
+    for at in (0..buf.len()).step_by(9_973) {
+        let mut damaged = buf.clone();
+        damaged[at] ^= 1;
+        assert_eq!(BlockMap::from_bytes(&damaged), Err(Error::Damaged), "byte {at}");
+        assert_eq!(BlockMap::from_bytes(&buf[..at]), Err(Error::Damaged), "cut at {at}");
+    }
+}
+
+#[test]
+fn bad_blocks_are_named() {
+    let block = |net: &str, site| Block { net: net.parse().unwrap(), site: SiteIndex(site) };
+    let build = |blocks: &[Block]| BlockMap::build(Version(1), sites(), blocks).unwrap_err();
+    let unknown = block("10.0.0.0/8", SITES);
+    assert_eq!(build(&[unknown]), Error::NoSuchSite(unknown.net));
+    let small = block("2001:db8::/65", 0);
+    assert_eq!(build(&[small]), Error::TooSmall(small.net));
+    let twice = block("10.0.0.0/8", 0);
+    assert_eq!(build(&[twice, twice]), Error::Twice(twice.net));
+    let map = BlockMap::build(Version(3), sites(), &[]).unwrap();
+    let delta = Delta { base: Version(2), next: Version(3), changes: vec![] };
+    let other = Error::OtherBase { base: Version(2), have: Version(3) };
+    assert_eq!(delta.apply(&map).unwrap_err(), other);
+}
--- a/foxtail-route/src/plan.rs
+++ b/foxtail-route/src/plan.rs
@@ -277,7 +277,10 @@
 
 fn own_region(query: &Query<'_>, options: &Options) -> Home {
     let own = query.pools.iter().find(|pool| pool.region == query.home);
-    let Some(pool) = own.filter(|pool| pool.state == State::Open) else {
+    let usable = |pool: &&PoolView<'_>| {
+        pool.state == State::Open && answered_by(query, pool, Millis::ZERO) <= query.deadline
+    };
+    let Some(pool) = own.filter(usable) else {
         return Home { usable: false, in_time: false, wait: None };
     };
     let wait = fresh_wait(query, options, pool);
