--- /dev/null
+++ b/foxtail-place/benches/lookup.rs
@@ -0,0 +1,117 @@
+//! One block look-up and one whole look-up, at today's size and at the target size.
+
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr};
+
+use criterion::Criterion;
+use foxtail_config::{Link, Network, Region};
+use foxtail_place::directory::Headroom;
+use foxtail_place::{Block, BlockMap, Caller, Directory, HostView, Site, SiteIndex, lookup};
+use foxtail_types::prelude::*;
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+
+/// The sizes: blocks, sites, regions and hosts.
+const SIZES: [(&str, usize, usize, usize, usize); 2] =
+    [("today", 3_000, 6, 3, 18), ("target", 1_900_000, 730, 20, 5_700)];
+/// How many addresses are looked up in turn, so that the processor's caches do not hold them all.
+const ADDRS: usize = 1 << 16;
+/// One block in so many is IPv6.
+const V6_EVERY: usize = 5;
+
+fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^ (x >> 31)
+}
+
+fn region(at: usize) -> RegionId {
+    RegionId::new(&format!("region-{at}")).expect("a valid name")
+}
+
+fn zone(region: usize, at: usize) -> ZoneId {
+    ZoneId::new(&format!("zone-{region}-{at}")).expect("a valid name")
+}
+
+fn net(at: usize, blocks: usize) -> IpNet {
+    if at.is_multiple_of(V6_EVERY) {
+        let bits = u128::from(0x2000_0000_0000_u64 + 3 * at as u64) << 80;
+        return Ipv6Net::new_assert(bits.into(), 48).into();
+    }
+    let step = (1_usize << 24) / blocks;
+    Ipv4Net::new_assert(Ipv4Addr::from_bits(((at * step) as u32) << 8), 24).into()
+}
+
+fn map(blocks: usize, sites: usize, regions: usize) -> BlockMap {
+    let site = |at: usize| Site { region: region(at % regions), zone: Some(zone(at % regions, 0)) };
+    let sites: Vec<Site> = (0..sites).map(site).collect();
+    let block = |at: usize| {
+        let site = SiteIndex((mix(at as u64) % sites.len() as u64) as u16);
+        Block { net: net(at, blocks), site }
+    };
+    let blocks: Vec<Block> = (0..blocks).map(block).collect();
+    BlockMap::build(Version(1), sites, &blocks).expect("the blocks are valid")
+}
+
+fn addrs(blocks: usize) -> Vec<IpAddr> {
+    let addr = |n: usize| match net(mix(n as u64) as usize % blocks, blocks) {
+        IpNet::V4(net) => IpAddr::V4(Ipv4Addr::from_bits(net.network().to_bits() + 7)),
+        IpNet::V6(net) => IpAddr::V6((net.network().to_bits() + 7).into()),
+    };
+    (0..ADDRS).map(addr).collect()
+}
+
+fn directory(regions: usize, hosts: usize) -> Directory {
+    let host = |n: usize| HostView {
+        id: HostId::new(&format!("host-{n}")).expect("a valid name"),
+        region: region(n % regions),
+        zone: zone(n % regions, n / regions % 2),
+        addr: (Ipv4Addr::LOCALHOST, 1_024 + n as u16).into(),
+        headroom: Some(Headroom { free_permille: 500, age: Millis::ZERO }),
+        ready_for: Millis::secs(100),
+        leaving: false,
+        silent: false,
+    };
+    let hosts: Vec<HostView> = (0..hosts).map(host).collect();
+    let pairs =
+        (0..regions).flat_map(|a| (0..regions).map(move |b| (a, b))).filter(|(a, b)| a != b);
+    let link = |(a, b)| Link {
+        id: LinkId { from: region(a), to: region(b) },
+        mbit_per_s: 4_000,
+        delay: Millis(35),
+        archive_mbit_per_s: 100,
+    };
+    let zones = |at| (0..2).map(|zone_at| zone(at, zone_at)).collect();
+    let network = Network {
+        regions: (0..regions).map(|at| Region { id: region(at), zones: zones(at) }).collect(),
+        links: pairs.map(link).collect(),
+        owner_shards: 2,
+    };
+    Directory::new(hosts[0].clone(), &hosts, &network)
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    let c = &mut criterion;
+    let testing = std::env::args().any(|arg| arg == "--test");
+    for (name, blocks, sites, regions, hosts) in SIZES {
+        let blocks = if testing { blocks.min(10_000) } else { blocks };
+        let map = map(blocks, sites, regions);
+        let addrs = addrs(blocks);
+        let directory = directory(regions, hosts);
+        let mut next = 0;
+        let mut addr = move || {
+            next = (next + 1) % ADDRS;
+            addrs[next]
+        };
+        c.bench_function(&format!("block/{name}"), |b| {
+            b.iter(|| black_box(map.find(black_box(addr()))).is_some());
+        });
+        c.bench_function(&format!("look-up/{name}"), |b| {
+            b.iter(|| {
+                let caller = Caller { addr: Some(addr()), region: None, zone: None };
+                black_box(lookup(&directory, &map, &caller)).ttl
+            });
+        });
+    }
+    criterion.final_summary();
+}
