--- a/foxtail-config/src/headroom.rs
+++ b/foxtail-config/src/headroom.rs
@@ -86,6 +86,8 @@
     pub excess: u64,
     /// The whole matter in words.
     pub reason: String,
+    /// What would be accepted in place of it, where one number decides.
+    pub accepted: Option<String>,
 }
 
 /// Works out the headroom of `site`.
@@ -118,6 +120,7 @@
                 format!(
                     "{id} needs {per_s} requests/s shifted out of {region}, above shift_per_s {cap}"
                 ),
+                Some(format!("shift_per_s of {id} {per_s} or more")),
             );
         }
         self.shift_cap(load.workspace);
@@ -134,7 +137,7 @@
         if total == 0 {
             let what = format!("{}/{}", load.workspace.id, service.id);
             let reason = format!("{what} would have no server left that takes work");
-            self.overload(what, 1, reason);
+            self.overload(what, 1, reason, None);
         }
         let demand = load.demand.iter().find(|demand| demand.service == service.id);
         if let Some(demand) = demand.filter(|demand| demand.service_ms > 0) {
@@ -189,7 +192,7 @@
                 "{what}: {} slots of the expected load find no room in any region",
                 slots_text(over_milli)
             );
-            self.overload(what, over_milli, reason);
+            self.overload(what, over_milli, reason, None);
         }
         (need - over_milli).div_ceil(demand.service_ms)
     }
@@ -210,12 +213,13 @@
                 workspace.shift_per_s,
                 kbit / 1_000
             );
-            self.overload(format!("{id} shift cap"), kbit - room_kbit, reason);
+            let accepted = format!("shift_per_s {} or less", room_kbit * 1_000 / (largest * 8));
+            self.overload(format!("{id} shift cap"), kbit - room_kbit, reason, Some(accepted));
         }
     }
 
-    fn overload(&mut self, what: String, excess: u64, reason: String) {
-        self.out.overloads.push(Overload { what, excess, reason });
+    fn overload(&mut self, what: String, excess: u64, reason: String, accepted: Option<String>) {
+        self.out.overloads.push(Overload { what, excess, reason, accepted });
     }
 
     fn finish(mut self) -> Headroom {
@@ -229,7 +233,7 @@
                     used / 1_000,
                     room_kbit / 1_000
                 );
-                self.overload(format!("link {}", link.id), used - room_kbit, reason);
+                self.overload(format!("link {}", link.id), used - room_kbit, reason, None);
             }
             self.out.links.push(LinkRoom {
                 link: link.id.clone(),
--- a/foxtail-config/src/plan.rs
+++ b/foxtail-config/src/plan.rs
@@ -106,6 +106,7 @@
 }
 
 fn refusal(overload: &Overload, accepted: Option<String>) -> Refusal {
+    let accepted = accepted.or_else(|| overload.accepted.clone());
     Refusal { reason: overload.reason.clone(), accepted }
 }
 
--- a/foxtail-sync/src/admin/commit.rs
+++ b/foxtail-sync/src/admin/commit.rs
@@ -61,7 +61,7 @@
             let txn = transaction(&loaded, &change, draft);
             if let Attempt::Done(change) = self.settle(&txn, change).await? {
                 tracing::info!(event = "config_accepted", %version, operator, token = change.token);
-                self.spread.accepted(&change);
+                self.spread.accepted(&change, loaded.with(&change));
                 return Ok(Accepted { version, workspace, changed: true });
             }
         }
--- a/foxtail-sync/src/spread.rs
+++ b/foxtail-sync/src/spread.rs
@@ -105,13 +105,20 @@
         }
     }
 
-    /// Takes a change that this host has committed, and offers it to others at once.
-    pub fn accepted(&self, change: &Change) {
-        let taken = self.core.lock().take_changes(std::slice::from_ref(change));
-        match taken {
-            Taken::Newer => self.publish("accepted"),
-            Taken::Known => {}
-            Taken::Gap => self.wake.notify_one(),
+    /// Takes a change that this host has committed, and offers it to others at once. `whole` is
+    /// the configuration with it, for a host that has fallen behind.
+    pub fn accepted(&self, change: &Change, whole: Option<Snapshot>) {
+        let taken = {
+            let mut core = self.core.lock();
+            match core.take_changes(std::slice::from_ref(change)) {
+                Taken::Gap => {
+                    whole.map_or(Taken::Gap, |whole| core.take_whole(Arc::new(whole), None))
+                }
+                taken => taken,
+            }
+        };
+        if taken == Taken::Newer {
+            self.publish("accepted");
         }
         self.announce.notify_one();
     }
--- a/foxtail-sync/src/store.rs
+++ b/foxtail-sync/src/store.rs
@@ -8,6 +8,7 @@
 use foxtail_types::prelude::*;
 use serde::de::DeserializeOwned;
 
+use crate::core::applied;
 use crate::msg::{Change, Item};
 use crate::rows::{self, DrainsRow, Head, NetworkRow, WorkspaceRow};
 
@@ -54,6 +55,20 @@
         Some(Snapshot { version: self.version, network, workspaces, drains })
     }
 
+    /// The configuration with `change` on top; `None` without a network.
+    pub fn with(&self, change: &Change) -> Option<Snapshot> {
+        let first = match &change.item {
+            Item::Network(network) => Some(Snapshot {
+                version: change.version,
+                network: Arc::clone(network),
+                workspaces: Vec::new(),
+                drains: Vec::new(),
+            }),
+            _ => None,
+        };
+        self.snapshot().or(first).map(|snapshot| applied(&snapshot, change))
+    }
+
     fn newest_row(&self) -> Version {
         let network = self.network.as_ref().map_or(Version(0), |row| row.version);
         let workspaces = self.workspaces.values().map(|row| row.version).max();
