fix(config): hold back servers that any host may have seen in another pool

Cause: a random search over versions, hosts and tickets found a server that moved away and back granted in both pools, by a host that knew the version in between and one that had gone past it. Change: a host remembers every pool it has seen a server in since limits last settled, and takes up new servers only when every host holds the version.

--- a/foxtail-config/src/stage.rs
+++ b/foxtail-config/src/stage.rs
@@ -1,8 +1,9 @@
 //! Which limits a host may enforce while a new version spreads.
 //!
-//! A host that takes up a version lowers limits at once. It raises one only when every live host
-//! holds the version, and takes up a server that moved between pools only when the old pool's
-//! tickets are gone as well, so that old and new never add up to more than the cap.
+//! A host that takes up a version lowers limits at once. It raises one, or takes up a server that
+//! is new, only when every live host holds the version. It takes up a server that moved between
+//! pools only when the old pool's tickets are gone as well. So old and new never add up to more
+//! than the cap.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -39,10 +40,19 @@
     service: ServiceId,
     region: RegionId,
     slots: u32,
+    /// A later version has it in another pool, where hosts may grant it as soon as that version
+    /// settles for them.
+    moved: bool,
 }
 
 type Places = BTreeMap<SocketAddr, Place>;
 
+impl Place {
+    fn is_pool(&self, workspace: &WorkspaceId, service: &ServiceId, region: &RegionId) -> bool {
+        self.workspace == *workspace && self.service == *service && self.region == *region
+    }
+}
+
 impl Stager {
     /// Starts on `first` with no knowledge of older versions: nothing is granted of any limit
     /// until `first` is held everywhere.
@@ -55,7 +65,8 @@
     /// Starts on `first` where another host has got as far as `in_force`.
     pub fn resume(first: Arc<Snapshot>, in_force: Arc<Snapshot>) -> Self {
         let mut places = Places::new();
-        note_places(&mut places, &in_force, &|_| true);
+        note_places(&mut places, &in_force);
+        places.values_mut().for_each(|place| place.moved = place.slots == 0);
         let in_force = Arc::new(limited(&places, &in_force, &first, Reach::Seen));
         Self { target: first, in_force, reach: Reach::Seen, places }
     }
@@ -65,7 +76,8 @@
         if new.version <= self.target.version {
             return;
         }
-        note_places(&mut self.places, &self.in_force, &|slots| slots > 0);
+        note_places(&mut self.places, &self.in_force);
+        note_moves(&mut self.places, &new);
         self.in_force = Arc::new(limited(&self.places, &self.in_force, &new, Reach::Seen));
         self.target = new;
         self.reach = Reach::Seen;
@@ -102,20 +114,7 @@
     }
 }
 
-/// What a host that enforces `old` may enforce of `new`, which has got as far as `reach`.
-///
-/// Everything is as in `new`, except for limits: the lower of both while hosts may still use the
-/// old one. A server that is in another pool in `old` gets no slots before
-/// [`Reach::Settled`]; one that is in no pool of `old` is taken up at once.
-pub fn enforced(old: &Snapshot, new: &Snapshot, reach: Reach) -> Snapshot {
-    if reach == Reach::Settled {
-        return new.clone();
-    }
-    let mut places = Places::new();
-    note_places(&mut places, old, &|slots| slots > 0);
-    limited(&places, old, new, reach)
-}
-
+/// `new` with every limit that is not yet sure held back to what `old` enforces.
 fn limited(places: &Places, old: &Snapshot, new: &Snapshot, reach: Reach) -> Snapshot {
     let mut out = new.clone();
     for workspace in &mut out.workspaces {
@@ -128,17 +127,17 @@
     out
 }
 
-/// Adds the places of `snapshot` whose slots `count`; of a server that is noted already, the first
-/// place counts.
-fn note_places(places: &mut Places, snapshot: &Snapshot, count: &dyn Fn(u32) -> bool) {
+/// Adds the places of `snapshot`; of a server that is noted already, the first pool counts.
+fn note_places(places: &mut Places, snapshot: &Snapshot) {
     for workspace in &snapshot.workspaces {
         for service in &workspace.services {
-            for upstream in service.upstreams.iter().filter(|upstream| count(upstream.slots)) {
+            for upstream in &service.upstreams {
                 let place = Place {
                     workspace: workspace.id.clone(),
                     service: service.id.clone(),
                     region: upstream.region.clone(),
                     slots: upstream.slots,
+                    moved: false,
                 };
                 let noted = places.entry(upstream.addr).or_insert(place);
                 noted.slots = noted.slots.min(upstream.slots);
@@ -147,19 +146,34 @@
     }
 }
 
+fn note_moves(places: &mut Places, snapshot: &Snapshot) {
+    for workspace in &snapshot.workspaces {
+        for service in &workspace.services {
+            for upstream in &service.upstreams {
+                if let Some(place) = places.get_mut(&upstream.addr) {
+                    place.moved |= !place.is_pool(&workspace.id, &service.id, &upstream.region);
+                }
+            }
+        }
+    }
+}
+
 fn limit_workspace(new: &mut Workspace, old: Option<&Workspace>, places: &Places, reach: Reach) {
     if let Some(old) = old.filter(|_| reach == Reach::Seen) {
         new.shift_per_s = new.shift_per_s.min(old.shift_per_s);
     }
     for service in &mut new.services {
         for upstream in &mut service.upstreams {
-            let Some(place) = places.get(&upstream.addr) else { continue };
-            let same = place.workspace == new.id && place.service == service.id;
-            if !same || place.region != upstream.region || place.slots == 0 {
-                upstream.slots = 0;
-            } else if reach == Reach::Seen {
-                upstream.slots = upstream.slots.min(place.slots);
-            }
+            let place = places.get(&upstream.addr);
+            let stayed = |place: &Place| {
+                !place.moved && place.is_pool(&new.id, &service.id, &upstream.region)
+            };
+            upstream.slots = match (place, reach) {
+                (Some(place), _) if !stayed(place) => 0,
+                (Some(place), Reach::Seen) => upstream.slots.min(place.slots),
+                (None, Reach::Seen) => 0,
+                (_, Reach::Held | Reach::Settled) => upstream.slots,
+            };
         }
     }
 }
