--- a/foxtail-standin/src/upstream/state.rs
+++ b/foxtail-standin/src/upstream/state.rs
@@ -31,6 +31,8 @@
     pub given_up: u64,
     /// Crashes.
     pub crashes: u64,
+    /// The time that slots were in use, added up.
+    pub busy: Millis,
     /// Connections accepted.
     pub connections: u64,
 }
@@ -71,6 +73,7 @@
 /// A request in a slot.
 pub(crate) struct Running<'a> {
     state: &'a State,
+    began: Millis,
     done: bool,
     _permit: SemaphorePermit<'a>,
 }
@@ -127,7 +130,8 @@
         let cold = self.options.cold.factor_at(inner.since_start);
         inner.since_start += 1;
         let took_ms = self.options.service_time.sample(&mut inner.rng) * cold;
-        (Running { state: self, done: false, _permit: permit }, took_ms)
+        let began = BootClock.now();
+        (Running { state: self, began, done: false, _permit: permit }, took_ms)
     }
 
     /// Counts a request that was refused after it had waited.
@@ -201,6 +205,7 @@
     fn drop(&mut self) {
         let mut inner = self.state.inner.lock();
         inner.busy -= 1;
+        inner.stats.busy = inner.stats.busy + BootClock.now().since(self.began);
         if self.done {
             inner.stats.answered += 1;
         } else {
