--- a/foxtail-lab/examples/once_latency.rs
+++ b/foxtail-lab/examples/once_latency.rs
@@ -16,7 +16,7 @@
 use async_trait::async_trait;
 use foxtail_net::TcpDial;
 use foxtail_once::commit::{self, Done, Pace};
-use foxtail_once::relay::{self, Peers, msg};
+use foxtail_once::relay::{self, Budget, Part, Peers, msg};
 use foxtail_once::{Answer, Ask, Begin, Claims, Commit, Fingerprint, Gate, Group, Relay, claims};
 use foxtail_platform::guard::{Guard, Options as Share, Rate};
 use foxtail_platform::http::{Call, HttpObjects, HttpTable};
@@ -37,8 +37,7 @@
 const WARM: Duration = Duration::from_secs(1);
 const MEASURED: Duration = Duration::from_secs(4);
 const STORE_PER_S: u32 = 400;
-const MIXED_PER_S: u32 = 110;
-const DIRECT_PER_S: u32 = 14;
+const REGIONS: usize = 3;
 
 /// How writes reach the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,7 +48,8 @@
     Host,
     /// One host gathers the writes of all, at this pace a second.
     Relay(u32),
-    /// The same at 110 a second, but hosts with few claims commit them themselves.
+    /// As the hosts do it: a relay for each of three regions, and hosts with few claims commit
+    /// them themselves.
     Mixed,
 }
 
@@ -176,7 +176,8 @@
                 reads: Rate { per_s: 2_000, burst: 500 },
             };
             let table: Arc<dyn Table> = Guard::new(Arc::new(far), Arc::clone(&clock), share);
-            let group = Group::start(Arc::clone(&table), Arc::clone(&clock), options(way));
+            let group =
+                Group::start(Arc::clone(&table), Arc::clone(&clock), options(way, i < REGIONS));
             let objects: Arc<dyn Objects> = Arc::new(HttpObjects::new(call));
             let commit =
                 committer(way, &group, hosts.first().map(|(_, group)| group), delays.clone());
@@ -219,11 +220,16 @@
     }
 }
 
-fn options(way: Way) -> commit::Options {
+/// A host's part of the budget.
+fn part(is_relay: bool) -> Part {
+    Budget::default().part(HOSTS, REGIONS, is_relay)
+}
+
+fn options(way: Way, is_relay: bool) -> commit::Options {
     let pace = match way {
         Way::Single | Way::Host => Pace { per_s: 10_000, burst: 1_000 },
         Way::Relay(per_s) => Pace { per_s, burst: 4 },
-        Way::Mixed => Pace { per_s: MIXED_PER_S, burst: 4 },
+        Way::Mixed => part(is_relay).pace(),
     };
     let rows_max = if way == Way::Single { 1 } else { 512 };
     let in_flight_max = if way == Way::Single { 1_000 } else { 64 };
@@ -233,15 +239,15 @@
 fn committer(
     way: Way,
     own: &Arc<Group>,
-    first: Option<&Arc<Group>>,
+    target: Option<&Arc<Group>>,
     delays: Delays,
 ) -> Arc<dyn Commit> {
-    match (way, first) {
-        (Way::Relay(_) | Way::Mixed, Some(first)) => {
-            let hop = Arc::new(Hop { group: Arc::clone(first), delays });
+    match (way, target) {
+        (Way::Relay(_) | Way::Mixed, Some(target)) => {
+            let hop = Arc::new(Hop { group: Arc::clone(target), delays });
             let relay = Relay::new(hop, own.clone(), Arc::new(BootClock));
             relay.set_target(HostId::new("host-0").ok());
-            relay.set_direct(if way == Way::Mixed { DIRECT_PER_S } else { 0 });
+            relay.set_direct(if way == Way::Mixed { part(false).direct_per_s } else { 0 });
             relay
         }
         _ => own.clone(),
--- a/foxtail-node/src/keys.rs
+++ b/foxtail-node/src/keys.rs
@@ -1,5 +1,6 @@
 //! At-most-once execution put together: claims, group commit and the relay between hosts.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use async_trait::async_trait;
@@ -39,7 +40,7 @@
     ) -> Self {
         let group = Group::start(Arc::clone(table), Arc::clone(clock), commit::Options::default());
         let own = Arc::clone(&group) as Arc<dyn foxtail_once::Commit>;
-        let relay = Relay::new(Arc::new(RelayPeers(Arc::clone(fleet))), own);
+        let relay = Relay::new(Arc::new(RelayPeers(Arc::clone(fleet))), own, Arc::clone(clock));
         let ports = claims::Ports {
             clock: Arc::clone(clock),
             table: Arc::clone(table),
@@ -74,9 +75,19 @@
             let view = fleet.view.load();
             let near = view.live_in(fleet.region()).filter(|member| member.is_serving());
             let chosen = relay::choose(near.map(|member| &member.identity.id));
+            self.share(fleet, chosen == Some(fleet.me()));
             self.relay.set_target(chosen.filter(|host| *host != fleet.me()).cloned());
         }
     }
+
+    /// Takes this host's part of the store's budget.
+    fn share(&self, fleet: &Fleet, is_relay: bool) {
+        let view = fleet.view.load();
+        let regions: BTreeSet<_> = view.live().map(|member| &member.identity.region).collect();
+        let part = relay::Budget::default().part(view.live().count(), regions.len(), is_relay);
+        self.relay.set_direct(part.direct_per_s);
+        self.group.set_pace(part.pace());
+    }
 }
 
 #[async_trait]
--- a/foxtail-once/src/relay.rs
+++ b/foxtail-once/src/relay.rs
@@ -13,11 +13,14 @@
 use foxtail_types::prelude::*;
 use parking_lot::{Mutex, RwLock};
 
-use crate::commit::{Commit, Done, Entry, Sent, Urgency};
+use crate::commit::{Commit, Done, Entry, Pace, Sent, Urgency};
 
 /// How long a peer may take before the write is committed by this host itself.
 const PEER_TIMEOUT: Millis = Millis(2_000);
 
+/// How many transactions a host may start at once after a quiet time.
+const BURST: u32 = 4;
+
 /// Messages between hosts.
 pub mod msg {
     use foxtail_platform::table::Write;
@@ -37,6 +40,24 @@
     }
 }
 
+/// What the store takes from all hosts together for claims and their ends.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    /// Transactions a second of hosts that commit their claims themselves.
+    pub direct_per_s: u32,
+    /// Transactions a second of the relays.
+    pub gathered_per_s: u32,
+}
+
+/// One host's part of a [`Budget`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// For [`Relay::set_direct`].
+    pub direct_per_s: u32,
+    /// The pace of the host's committer, in transactions a second.
+    pub pace_per_s: u32,
+}
+
 /// Sends writes to another host.
 #[async_trait]
 pub trait Peers: Send + Sync {
@@ -80,6 +101,29 @@
     }
 }
 
+impl Default for Budget {
+    fn default() -> Self {
+        Self { direct_per_s: 140, gathered_per_s: 110 }
+    }
+}
+
+impl Budget {
+    /// The part of one of `hosts`, which is one of the `relays` or not.
+    pub fn part(&self, hosts: usize, relays: usize, is_relay: bool) -> Part {
+        let share = |of: u32, among: usize| of / u32::try_from(among.max(1)).unwrap_or(u32::MAX);
+        let direct_per_s = share(self.direct_per_s, hosts);
+        let gathered = if is_relay { share(self.gathered_per_s, relays) } else { 0 };
+        Part { direct_per_s, pace_per_s: (direct_per_s + gathered).max(1) }
+    }
+}
+
+impl Part {
+    /// The pace for [`Group::set_pace`](crate::Group::set_pace).
+    pub fn pace(&self) -> Pace {
+        Pace { per_s: self.pace_per_s, burst: BURST }
+    }
+}
+
 impl Meter {
     /// Counts one event; whether there are no more than the limit.
     fn count(&mut self, now: Millis) -> bool {
