--- a/foxtail-node/src/keys.rs
+++ b/foxtail-node/src/keys.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use foxtail_member::View;
 use foxtail_once::collect;
-use foxtail_once::commit::{self, Done};
+use foxtail_once::commit::{self, Done, Pace};
 use foxtail_once::relay::{self, msg::Relayed};
 use foxtail_once::{Claims, Collector, Group, Relay, claims};
+use foxtail_platform::guard::{self, Guard, Rate};
 use foxtail_platform::{Objects, Table};
 use foxtail_types::prelude::*;
 use foxtail_wire::PeerClient;
@@ -16,8 +18,18 @@
 
 /// How long the last records may take at a stop.
 const STOP_WAIT: Millis = Millis::secs(10);
-/// How often the relay is chosen anew.
-const CHOOSE_EVERY: Millis = Millis::secs(1);
+/// How often the live hosts are looked at.
+const FOLLOW_EVERY: Millis = Millis::secs(1);
+/// Transactions a second of the hosts that gather writes, all together.
+const GATHERED_WRITES_PER_S: u32 = 240;
+/// Transactions a second of all hosts together for everything else.
+const OTHER_WRITES_PER_S: u32 = 100;
+/// The least that a host may write, in transactions a second.
+const WRITES_MIN_PER_S: u32 = 2;
+/// Reads a second of all hosts together.
+const READS_PER_S: u32 = 1_600;
+/// The least that a host may read, in reads a second.
+const READS_MIN_PER_S: u32 = 4;
 
 /// At-most-once execution at this host.
 pub(crate) struct Keys {
@@ -25,6 +37,7 @@
     group: Arc<Group>,
     relay: Arc<Relay>,
     collector: Collector,
+    guard: Arc<Guard>,
 }
 
 /// Sends writes to the host that gathers them.
@@ -33,10 +46,11 @@
 impl Keys {
     pub(crate) fn start(
         fleet: &Arc<Fleet>,
-        table: &Arc<dyn Table>,
+        guard: &Arc<Guard>,
         objects: &Arc<dyn Objects>,
         clock: &Arc<dyn Clock>,
     ) -> Self {
+        let table = &(Arc::clone(guard) as Arc<dyn Table>);
         let group = Group::start(Arc::clone(table), Arc::clone(clock), commit::Options::default());
         let own = Arc::clone(&group) as Arc<dyn foxtail_once::Commit>;
         let relay = Relay::new(Arc::new(RelayPeers(Arc::clone(fleet))), own);
@@ -49,7 +63,7 @@
         let claims = Claims::start(fleet.me().clone(), ports, claims::Options::default());
         let options = collect::Options::default();
         let collector = Collector::new(Arc::clone(table), Arc::clone(clock), options);
-        Self { claims, group, relay, collector }
+        Self { claims, group, relay, collector, guard: Arc::clone(guard) }
     }
 
     /// Commits a peer's write.
@@ -59,7 +73,7 @@
 
     /// Collects old rows and follows the live hosts until `stop`.
     pub(crate) async fn run(&self, fleet: &Fleet, stop: CancellationToken) {
-        tokio::join!(self.collector.run(stop.clone()), self.choose(fleet, stop.clone()));
+        tokio::join!(self.collector.run(stop.clone()), self.follow(fleet, stop.clone()));
     }
 
     /// Writes the last records.
@@ -68,17 +82,37 @@
         self.group.stop().await;
     }
 
-    async fn choose(&self, fleet: &Fleet, stop: CancellationToken) {
-        let mut ticks = tokio::time::interval(CHOOSE_EVERY.duration());
+    /// Follows the live hosts: who gathers writes, and each host's share of the store.
+    async fn follow(&self, fleet: &Fleet, stop: CancellationToken) {
+        let mut ticks = tokio::time::interval(FOLLOW_EVERY.duration());
         while stop.run_until_cancelled(ticks.tick()).await.is_some() {
             let view = fleet.view.load();
             let near = view.live_in(fleet.region()).filter(|member| member.is_serving());
             let chosen = relay::choose(near.map(|member| &member.identity.id));
-            self.relay.set_target(chosen.filter(|host| *host != fleet.me()).cloned());
+            let gathers = chosen == Some(fleet.me());
+            let share = share(&view, gathers);
+            self.guard.set_share(share);
+            self.group.set_pace(Pace { per_s: share.writes.per_s, burst: share.writes.burst });
+            self.relay.set_target(chosen.filter(|_| !gathers).cloned());
         }
     }
 }
 
+/// What this host may ask of the store: the hosts that gather writes have most of it.
+fn share(view: &View, gathers: bool) -> guard::Options {
+    let hosts = view.live().count().max(1) as u32;
+    let mut regions: Vec<_> = view.live().map(|member| &member.identity.region).collect();
+    regions.sort_unstable();
+    regions.dedup();
+    let gathered = if gathers { GATHERED_WRITES_PER_S / regions.len().max(1) as u32 } else { 0 };
+    let writes = (OTHER_WRITES_PER_S / hosts).max(WRITES_MIN_PER_S) + gathered;
+    let reads = (READS_PER_S / hosts).max(READS_MIN_PER_S);
+    guard::Options {
+        writes: Rate { per_s: writes, burst: writes },
+        reads: Rate { per_s: reads, burst: reads },
+    }
+}
+
 #[async_trait]
 impl relay::Peers for RelayPeers {
     async fn commit(&self, to: &HostId, relayed: Relayed, timeout: Millis) -> Option<Done> {
--- a/foxtail-node/src/lib.rs
+++ b/foxtail-node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 mod fleet;
 mod keys;
+mod limits;
 mod members;
 mod metrics;
 pub mod node;
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -9,6 +9,7 @@
 use foxtail_net::Dial;
 use foxtail_net::http;
 use foxtail_place::BlockMap;
+use foxtail_platform::guard::{self, Guard};
 use foxtail_platform::http::{Call, HttpHosts, HttpObjects, HttpTable};
 use foxtail_platform::{HostList, Objects, Table};
 use foxtail_retry::crash::Detector;
@@ -30,7 +31,7 @@
 use crate::peer::PeerHandler;
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{members, ready, stop};
+use crate::{limits, members, ready, stop};
 
 /// The ports to the outside.
 #[derive(Clone)]
@@ -67,8 +68,10 @@
     addrs: Addrs,
     callers: JoinSet<()>,
     control: JoinSet<()>,
+    owning: JoinSet<()>,
     stop_callers: CancellationToken,
     stop_control: CancellationToken,
+    stop_owning: CancellationToken,
 }
 
 impl Node {
@@ -91,8 +94,10 @@
             addrs,
             callers: JoinSet::new(),
             control: JoinSet::new(),
+            owning: JoinSet::new(),
             stop_callers: CancellationToken::new(),
             stop_control: CancellationToken::new(),
+            stop_owning: CancellationToken::new(),
         };
         node.spawn(callers.0, hosts.0, operators.0, &platform);
         tracing::info!(
@@ -136,12 +141,14 @@
         tracing::info!(event = "host_leaving", host = %self.state.settings.host);
         self.state.leaving.store(true, Ordering::SeqCst);
         members::announce(&self.state).await;
+        self.stop_owning.cancel();
         tokio::time::sleep(options.settle.duration()).await;
         self.stop_callers.cancel();
         let cut_off = self.finish(options.finish).await;
         self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
+        while self.owning.join_next().await.is_some() {}
         self.stop_control.cancel();
         while self.control.join_next().await.is_some() {}
         self.state.fleet.sending.close();
@@ -181,10 +188,20 @@
         self.control.spawn(members::pull(Arc::clone(state), stop.clone()));
         let (spread, stopped) = (Arc::clone(&state.spread), stop.clone());
         self.control.spawn(async move { spread.run(stopped).await });
+        let (owners, fleet) = (Arc::clone(&state.owners), Arc::clone(&state.fleet));
+        self.control.spawn(limits::follow(
+            Arc::clone(&owners),
+            fleet,
+            state.spread.subscribe(),
+            stop.clone(),
+        ));
+        let (table, hand_over) = (Arc::clone(&platform.table), self.stop_owning.clone());
+        self.owning.spawn(foxtail_limit::driver::run(owners, table, hand_over));
         let (keys, stopped) = (Arc::clone(state), stop.clone());
         self.control.spawn(async move { keys.keys.run(&keys.fleet, stopped).await });
         let list = Arc::clone(&platform.hosts);
         self.control.spawn(members::list(Arc::clone(state), list, stop.clone()));
+        self.control.spawn(limits::show(Arc::clone(state), stop.clone()));
         self.control.spawn(ready::make_ready(Arc::clone(state), stop.clone()));
         let serving = serve_callers(Arc::clone(state), callers, self.stop_callers.clone());
         self.callers.spawn(serving);
@@ -194,6 +211,7 @@
 
 /// The platform's adapters.
 struct Platform {
+    guard: Arc<Guard>,
     table: Arc<dyn Table>,
     objects: Arc<dyn Objects>,
     hosts: Arc<dyn HostList>,
@@ -202,8 +220,11 @@
 impl Platform {
     fn new(settings: &Settings, ports: &Ports) -> Self {
         let call = Call::new(Arc::clone(&ports.dial), settings.platform.clone());
+        let table = Arc::new(HttpTable::new(Arc::clone(&call)));
+        let guard = Guard::new(table, Arc::clone(&ports.clock), guard::Options::default());
         Self {
-            table: Arc::new(HttpTable::new(Arc::clone(&call))),
+            table: Arc::clone(&guard) as Arc<dyn Table>,
+            guard,
             objects: Arc::new(HttpObjects::new(Arc::clone(&call))),
             hosts: Arc::new(HttpHosts::new(call)),
         }
@@ -219,7 +240,8 @@
         roster: Arc::clone(&fleet) as Arc<dyn foxtail_sync::Roster>,
         clock: Arc::clone(&ports.clock),
     });
-    let keys = Keys::start(&fleet, &platform.table, &platform.objects, &ports.clock);
+    let owners = limits::limiter(&settings, &fleet, &ports.clock);
+    let keys = Keys::start(&fleet, &platform.guard, &platform.objects, &ports.clock);
     let watch = Watch::new(
         settings.host.clone(),
         Arc::clone(&ports.clock),
@@ -234,7 +256,8 @@
         spread,
         directory: ArcSwapOption::empty(),
         blocks: ArcSwap::from_pointee(BlockMap::empty()),
-        limiter: todo_limiter(platform),
+        limiter: Arc::clone(&owners) as Arc<dyn foxtail_limit::Limiter>,
+        owners,
         gate: Arc::clone(&keys.claims) as Arc<dyn foxtail_once::Gate>,
         keys,
         watch,
@@ -274,7 +297,3 @@
     let local = listener.local_addr().map_err(error)?;
     Ok((listener, local))
 }
-
-fn todo_limiter(_: &Platform) -> Arc<dyn foxtail_limit::Limiter> {
-    unreachable!()
-}
--- a/foxtail-node/src/peer.rs
+++ b/foxtail-node/src/peer.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use foxtail_limit::msg as limit;
 use foxtail_member::msg::{Delta, Pull};
 use foxtail_once::commit::Done;
 use foxtail_once::relay::msg::Relayed;
@@ -52,4 +53,8 @@
     async fn commit(&self, relayed: Relayed) -> Done {
         self.state.keys.commit(relayed).await
     }
+
+    async fn limit(&self, req: limit::Request) -> limit::Reply {
+        self.state.owners.serve(req).await
+    }
 }
--- a/foxtail-node/src/state.rs
+++ b/foxtail-node/src/state.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use foxtail_config::Snapshot;
-use foxtail_limit::Limiter;
+use foxtail_limit::{Limiter, SharedLimiter};
 use foxtail_member::{Phase, Status};
 use foxtail_net::Dial;
 use foxtail_net::http::Client;
@@ -35,6 +35,8 @@
     pub(crate) directory: ArcSwapOption<Directory>,
     pub(crate) blocks: ArcSwap<BlockMap>,
     pub(crate) limiter: Arc<dyn Limiter>,
+    /// The limiter as the owner of shares that other hosts ask.
+    pub(crate) owners: Arc<SharedLimiter>,
     pub(crate) gate: Arc<dyn Gate>,
     pub(crate) keys: Keys,
     pub(crate) watch: Watch,
--- a/foxtail-wire/src/peer.rs
+++ b/foxtail-wire/src/peer.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use foxtail_limit::msg as limit;
 use foxtail_member::msg::{Delta, Pull};
 use foxtail_once::commit::Done;
 use foxtail_once::relay::msg::Relayed;
@@ -41,6 +42,8 @@
     async fn all_news() -> Vec<News>;
     /// Has a write of at-most-once execution committed together with others.
     async fn commit(relayed: Relayed) -> Done;
+    /// Asks about limits.
+    async fn limit(req: limit::Request) -> limit::Reply;
 }
 
 /// The port behind the service: what the live host does with each message.
@@ -60,6 +63,8 @@
     async fn all_news(&self) -> Vec<News>;
     /// Commits a write.
     async fn commit(&self, relayed: Relayed) -> Done;
+    /// Answers about limits.
+    async fn limit(&self, req: limit::Request) -> limit::Reply;
 }
 
 #[derive(Clone)]
@@ -95,6 +100,10 @@
     async fn commit(self, _cx: Context, relayed: Relayed) -> Done {
         self.handler.commit(relayed).await
     }
+
+    async fn limit(self, _cx: Context, req: limit::Request) -> limit::Reply {
+        self.handler.limit(req).await
+    }
 }
 
 /// Serves [`Peer`] on `listener` until `stop`, then ends every connection and returns.
