--- a/foxtail-node/src/keys.rs
+++ b/foxtail-node/src/keys.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use foxtail_member::View;
 use foxtail_once::collect;
 use foxtail_once::commit::{self, Done};
 use foxtail_once::relay::{self, msg::Relayed};
 use foxtail_once::{Claims, Collector, Group, Relay, claims};
+use foxtail_platform::guard::{self, Guard, Rate};
 use foxtail_platform::{Objects, Table};
 use foxtail_types::prelude::*;
 use foxtail_wire::PeerClient;
@@ -17,8 +19,16 @@
 
 /// How long the last records may take at a stop.
 const STOP_WAIT: Millis = Millis::secs(10);
-/// How often the relay is chosen anew.
-const CHOOSE_EVERY: Millis = Millis::secs(1);
+/// How often the live hosts are looked at.
+const FOLLOW_EVERY: Millis = Millis::secs(1);
+/// Transactions a second of all hosts together for everything but claims.
+const OTHER_WRITES_PER_S: u32 = 100;
+/// The least that a host may write, in transactions a second.
+const WRITES_MIN_PER_S: u32 = 2;
+/// Reads a second of all hosts together.
+const READS_PER_S: u32 = 1_600;
+/// The least that a host may read, in reads a second.
+const READS_MIN_PER_S: u32 = 4;
 
 /// At-most-once execution at this host.
 pub(crate) struct Keys {
@@ -26,6 +36,7 @@
     group: Arc<Group>,
     relay: Arc<Relay>,
     collector: Collector,
+    guard: Arc<Guard>,
 }
 
 /// Sends writes to the host that gathers them.
@@ -34,10 +45,11 @@
 impl Keys {
     pub(crate) fn start(
         fleet: &Arc<Fleet>,
-        table: &Arc<dyn Table>,
+        guard: &Arc<Guard>,
         objects: &Arc<dyn Objects>,
         clock: &Arc<dyn Clock>,
     ) -> Self {
+        let table = &(Arc::clone(guard) as Arc<dyn Table>);
         let group = Group::start(Arc::clone(table), Arc::clone(clock), commit::Options::default());
         let own = Arc::clone(&group) as Arc<dyn foxtail_once::Commit>;
         let relay = Relay::new(Arc::new(RelayPeers(Arc::clone(fleet))), own, Arc::clone(clock));
@@ -50,7 +62,7 @@
         let claims = Claims::start(fleet.me().clone(), ports, claims::Options::default());
         let options = collect::Options::default();
         let collector = Collector::new(Arc::clone(table), Arc::clone(clock), options);
-        Self { claims, group, relay, collector }
+        Self { claims, group, relay, collector, guard: Arc::clone(guard) }
     }
 
     /// Commits a peer's write.
@@ -60,7 +72,7 @@
 
     /// Collects old rows and follows the live hosts until `stop`.
     pub(crate) async fn run(&self, fleet: &Fleet, stop: CancellationToken) {
-        tokio::join!(self.collector.run(stop.clone()), self.choose(fleet, stop.clone()));
+        tokio::join!(self.collector.run(stop.clone()), self.follow(fleet, stop.clone()));
     }
 
     /// Writes the last records.
@@ -69,24 +81,37 @@
         self.group.stop().await;
     }
 
-    async fn choose(&self, fleet: &Fleet, stop: CancellationToken) {
-        let mut ticks = tokio::time::interval(CHOOSE_EVERY.duration());
+    /// Follows the live hosts: who gathers writes, and each host's share of the store.
+    async fn follow(&self, fleet: &Fleet, stop: CancellationToken) {
+        let mut ticks = tokio::time::interval(FOLLOW_EVERY.duration());
         while stop.run_until_cancelled(ticks.tick()).await.is_some() {
             let view = fleet.view.load();
             let near = view.live_in(fleet.region()).filter(|member| member.is_serving());
             let chosen = relay::choose(near.map(|member| &member.identity.id));
-            self.share(fleet, chosen == Some(fleet.me()));
-            self.relay.set_target(chosen.filter(|host| *host != fleet.me()).cloned());
+            let gathers = chosen == Some(fleet.me());
+            self.share(&view, gathers);
+            self.relay.set_target(chosen.filter(|_| !gathers).cloned());
         }
     }
 
-    /// Takes this host's part of the store's budget.
-    fn share(&self, fleet: &Fleet, is_relay: bool) {
-        let view = fleet.view.load();
+    /// Takes this host's share of the store: the hosts that gather writes have most of it.
+    fn share(&self, view: &View, gathers: bool) {
+        let hosts = view.live().count().max(1);
         let regions: BTreeSet<_> = view.live().map(|member| &member.identity.region).collect();
-        let part = relay::Budget::default().part(view.live().count(), regions.len(), is_relay);
+        let part = relay::Budget::default().part(hosts, regions.len(), gathers);
         self.relay.set_direct(part.direct_per_s);
         self.group.set_pace(part.pace());
+        self.guard.set_share(share(hosts as u32, part.pace_per_s));
+    }
+}
+
+/// What one of `hosts` may ask of the store, with `claims_per_s` transactions of claims.
+fn share(hosts: u32, claims_per_s: u32) -> guard::Options {
+    let writes = (OTHER_WRITES_PER_S / hosts).max(WRITES_MIN_PER_S) + claims_per_s;
+    let reads = (READS_PER_S / hosts).max(READS_MIN_PER_S);
+    guard::Options {
+        writes: Rate { per_s: writes, burst: writes },
+        reads: Rate { per_s: reads, burst: reads },
     }
 }
 
