fix: a relay's pace is its part of the gathered writes, not more

Also: writes nobody waits for any more leave the queue, rows of another kind are not collected, and the latency experiment has a relay for each region as the hosts do.

--- a/foxtail-lab/examples/once_latency.rs
+++ b/foxtail-lab/examples/once_latency.rs
@@ -1,6 +1,6 @@
 //! What a claim costs: added latency, store operations a request, the way back after an outage.
 //!
-//! `cargo run --release -p foxtail-lab --example once_latency -- [latency|outage|capacity]`
+//! `cargo run --release -p foxtail-lab --example once_latency -- [latency|mixed|outage|capacity]`
 //!
 //! 18 hosts in one process, each with its own HTTP client, claim over loopback at the stand-in
 //! platform, which takes 400 transactions a second. The store's round trip is a delay in each
@@ -92,6 +92,8 @@
     }
 }
 
+const WAYS: [Way; 5] = [Way::Single, Way::Host, Way::Relay(110), Way::Relay(250), Way::Mixed];
+
 /// A table at a distance.
 struct Far {
     inner: HttpTable,
@@ -179,8 +181,9 @@
             let group =
                 Group::start(Arc::clone(&table), Arc::clone(&clock), options(way, i < REGIONS));
             let objects: Arc<dyn Objects> = Arc::new(HttpObjects::new(call));
-            let commit =
-                committer(way, &group, hosts.first().map(|(_, group)| group), delays.clone());
+            let relay = if way == Way::Mixed { i % REGIONS } else { 0 };
+            let target = hosts.get(relay).map(|(_, group)| group);
+            let commit = committer(way, &group, target, delays.clone());
             let ports = claims::Ports { clock, table: Arc::clone(&table), objects, commit };
             let me = HostId::new(&format!("host-{i}"))?;
             hosts.push((Claims::start(me, ports, claims::Options::default()), group));
@@ -300,14 +303,14 @@
     (times.len() as usize, ms(0.5), ms(0.99))
 }
 
-async fn latency() -> anyhow::Result<()> {
+async fn latency(ways: &[Way]) -> anyhow::Result<()> {
     println!(
         "store ms  req/s  way          bare p50  claim p50  added p50  claim p99  txn/req  rows/req  reads/req  ran%  429s"
     );
     for round_trip in [1, 10, 35] {
         for per_s in [50, 200, 400] {
-            for way in [Way::Single, Way::Host, Way::Relay(110), Way::Relay(250), Way::Mixed] {
-                measure(round_trip, per_s, way).await?;
+            for way in ways {
+                measure(round_trip, per_s, *way).await?;
             }
         }
     }
@@ -417,11 +420,12 @@
 async fn main() -> anyhow::Result<()> {
     let what = std::env::args().nth(1);
     match what.as_deref() {
-        Some("latency") => latency().await,
+        Some("latency") => latency(&WAYS).await,
+        Some("mixed") => latency(&[Way::Mixed]).await,
         Some("outage") => outage().await,
         Some("capacity") => capacity().await,
         _ => {
-            latency().await?;
+            latency(&WAYS).await?;
             outage().await?;
             capacity().await
         }
--- a/foxtail-once/src/collect.rs
+++ b/foxtail-once/src/collect.rs
@@ -100,9 +100,11 @@
             let rows = self.table.scan(ROWS, &after, self.options.rows, self.call()).await?;
             let Some((last, _)) = rows.last() else { return Ok(deleted) };
             after = last.clone();
-            let old = rows.iter().filter(|(key, _)| row_born(key).is_none_or(|born| born < below));
-            let writes: Vec<_> = old.map(|(key, _)| delete(key)).collect();
-            let done = writes.len() < rows.len();
+            let old = |key: &str| row_born(key).is_some_and(|born| born < below);
+            let writes = rows.iter().filter(|(key, _)| old(key)).map(|(key, _)| delete(key));
+            let writes: Vec<_> = writes.collect();
+            let young = |key: &str| row_born(key).is_some_and(|born| born >= below);
+            let done = rows.iter().any(|(key, _)| young(key));
             deleted += self.commit(writes).await?;
             if done {
                 return Ok(deleted);
--- a/foxtail-once/src/commit/former.rs
+++ b/foxtail-once/src/commit/former.rs
@@ -10,6 +10,9 @@
 /// Thousandths of a transaction, the unit of the pace's bucket.
 const MILLI: u64 = 1_000;
 
+/// From how many waiting writes on those are dropped that nobody waits for any more.
+const ABANDONED_CHECK: usize = 1_024;
+
 /// The pace at which transactions start: a token bucket. With tokens left, a write starts at once;
 /// without, writes gather until the next token, so that transactions grow with the load.
 #[derive(Clone, Copy, Debug)]
@@ -41,6 +44,9 @@
     }
 
     pub(super) fn push(&mut self, item: Item, now: Millis) {
+        if self.urgent.len() >= ABANDONED_CHECK && self.urgent.len().is_power_of_two() {
+            self.urgent.retain(|item| !item.reply.is_closed());
+        }
         match item.entry.urgency {
             Urgency::Now => self.urgent.push_back(item),
             Urgency::Soon => self.relaxed.push_back((now, item)),
--- a/foxtail-once/src/relay.rs
+++ b/foxtail-once/src/relay.rs
@@ -113,7 +113,7 @@
         let share = |of: u32, among: usize| of / u32::try_from(among.max(1)).unwrap_or(u32::MAX);
         let direct_per_s = share(self.direct_per_s, hosts);
         let gathered = if is_relay { share(self.gathered_per_s, relays) } else { 0 };
-        Part { direct_per_s, pace_per_s: (direct_per_s + gathered).max(1) }
+        Part { direct_per_s, pace_per_s: direct_per_s.max(gathered).max(1) }
     }
 }
 
