perf: writes gather while the store's share is spent, and doubtful ones go on together

Cause: after an outage the share starts at a quarter, but transactions were formed at the committer's own pace and queued inside the guard, each with one claim; callers gave up and their claims had to be released, which took more transactions. Doubtful writes were retried by each batch for itself and held its place. Change: the committer forms a transaction only when the guard would let it go, and unanswered writes go back to it, to be tried again together.

--- a/foxtail-once/src/commit/batch.rs
+++ b/foxtail-once/src/commit/batch.rs
@@ -8,10 +8,6 @@
 use tokio::sync::oneshot;
 
 use super::{Done, Entry, Fence};
-use crate::jitter::Jitter;
-
-/// The first and the longest wait between two tries.
-const BACKOFF: (Millis, Millis) = (Millis(5), Millis(1_000));
 
 /// A write and who waits for it.
 pub(super) struct Item {
@@ -19,13 +15,14 @@
     pub(super) reply: oneshot::Sender<Done>,
     /// Whether an earlier try may have taken effect.
     pub(super) doubtful: bool,
+    /// How many tries had no answer.
+    pub(super) tries: u32,
 }
 
 /// Commits a batch.
 pub(super) struct Batch {
     pub(super) table: Arc<dyn Table>,
     pub(super) fence: Arc<Mutex<Fence>>,
-    pub(super) jitter: Arc<Jitter>,
     pub(super) timeout: Millis,
     pub(super) items: Vec<Item>,
 }
@@ -57,31 +54,33 @@
 }
 
 impl Batch {
-    /// Runs until no write is left: each is settled or given up by its writer.
-    pub(super) async fn run(mut self) {
-        let mut backoff = BACKOFF.0;
+    /// Tries until the store gives no answer; the writes to try again later.
+    pub(super) async fn run(mut self) -> Vec<Item> {
         while self.drop_abandoned() {
             let fence = *self.fence.lock();
             self.items.iter().for_each(|item| item.entry.sent.set(true));
             match self.table.commit(&self.txn(&fence), self.options()).await {
-                Outcome::Committed(versions) => return self.committed(&versions),
-                Outcome::Conflict { at, found } => {
-                    self.conflict(at, found).await;
-                    continue;
+                Outcome::Committed(versions) => {
+                    self.committed(&versions);
+                    break;
+                }
+                Outcome::Conflict { at, found } => self.conflict(at, found).await,
+                Outcome::Failed(Error::Throttled) => {
+                    self.undo();
+                    break;
+                }
+                Outcome::Failed(e) => {
+                    self.failed(&e);
+                    break;
                 }
-                Outcome::Failed(Error::Throttled) => self.undo(),
-                Outcome::Failed(e) => self.failed(&e),
                 Outcome::Ambiguous(_) => {
                     self.items.iter_mut().for_each(|item| item.doubtful = true);
+                    break;
                 }
             }
-            if !self.items.is_empty() {
-                self.wait(&mut backoff).await;
-            }
-            if self.items.iter().any(|item| item.doubtful) {
-                self.read_back().await;
-            }
         }
+        self.items.iter_mut().for_each(|item| item.tries += 1);
+        self.items
     }
 
     /// Drops writes nobody waits for; whether any are left.
@@ -105,8 +104,8 @@
         table::Options { priority: Priority::Claim, timeout: self.timeout }
     }
 
-    fn committed(self, versions: &[u64]) {
-        for (item, version) in self.items.into_iter().zip(versions) {
+    fn committed(&mut self, versions: &[u64]) {
+        for (item, version) in self.items.drain(..).zip(versions) {
             item.end(Done::Committed(*version));
         }
     }
@@ -149,12 +148,6 @@
         }
     }
 
-    /// Waits for a random part of `backoff`, and doubles it.
-    async fn wait(&self, backoff: &mut Millis) {
-        tokio::time::sleep(self.jitter.up_to(*backoff)).await;
-        *backoff = (*backoff * 2).min(BACKOFF.1);
-    }
-
     /// Reads all rows and settles the writes whose fate they show.
     async fn read_back(&mut self) {
         let keys: Vec<_> = self.items.iter().map(|item| item.entry.write.key.clone()).collect();
--- a/foxtail-once/src/commit/group.rs
+++ b/foxtail-once/src/commit/group.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use foxtail_platform::table::{Error, Table};
+use foxtail_platform::table::{Error, Priority, Table};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -17,6 +17,12 @@
 /// How many writes may wait to be gathered.
 const QUEUE: usize = 8_192;
 
+/// The first and the longest wait before writes without an answer are tried again, with others.
+const BACKOFF: (Millis, Millis) = (Millis(5), Millis(1_000));
+
+/// How often the first wait is doubled at most.
+const DOUBLINGS: u32 = 8;
+
 /// How writes are put together.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -46,10 +52,12 @@
     table: Arc<dyn Table>,
     clock: Arc<dyn Clock>,
     fence: Arc<Mutex<Fence>>,
-    jitter: Arc<Jitter>,
+    jitter: Jitter,
     options: Options,
     former: Former,
-    running: JoinSet<()>,
+    running: JoinSet<Vec<Item>>,
+    /// Writes that wait to be tried again.
+    resting: JoinSet<Vec<Item>>,
 }
 
 impl Default for Options {
@@ -57,7 +65,7 @@
         Self {
             pace: Pace { per_s: 120, burst: 8 },
             rows_max: 128,
-            in_flight_max: 32,
+            in_flight_max: 16,
             company: Millis(100),
             timeout: Millis(2_000),
             seed: None,
@@ -74,8 +82,9 @@
         let worker = Worker {
             former: Former::new(options, clock.now()),
             fence: Arc::new(Mutex::new(Fence::start())),
-            jitter: Arc::new(Jitter::new(options.seed)),
+            jitter: Jitter::new(options.seed),
             running: JoinSet::new(),
+            resting: JoinSet::new(),
             table,
             clock,
             options,
@@ -116,7 +125,7 @@
     async fn commit(&self, entry: Entry) -> Done {
         let (reply, done) = oneshot::channel();
         let sent = entry.sent.clone();
-        let item = Item { entry, reply, doubtful: sent.get() };
+        let item = Item { entry, reply, doubtful: sent.get(), tries: 0 };
         if self.tx.try_send(item).is_err() {
             return Done::Failed(Error::BudgetSpent);
         }
@@ -135,14 +144,15 @@
         mut stopping: watch::Receiver<bool>,
     ) {
         let mut draining = false;
-        while !(draining && self.former.is_empty() && self.running.is_empty()) {
+        while !(draining && self.is_idle()) {
             let due = self.due(draining);
             let now = self.clock.now();
             tokio::select! {
                 biased;
-                Some(item) = rx.recv() => self.gather(item, &mut rx),
+                Some(item) = rx.recv() => self.receive(item, &mut rx),
                 () = sleep_until(due, now) => {}
-                Some(_) = self.running.join_next() => {}
+                Some(Ok(left)) = self.running.join_next() => self.rest(left),
+                Some(Ok(left)) = self.resting.join_next() => self.gather(left),
                 Ok(()) = pace.changed() => {
                     let changed = *pace.borrow_and_update();
                     self.former.set_pace(changed, now);
@@ -159,24 +169,49 @@
     /// When to look again, unless something happens before.
     fn due(&self, draining: bool) -> Option<Millis> {
         let room = self.running.len() < self.options.in_flight_max;
-        self.former.due(draining).filter(|_| room)
+        let due = self.former.due(draining).filter(|_| room)?;
+        Some(due.max(self.clock.now() + self.commit_wait()))
+    }
+
+    fn is_idle(&self) -> bool {
+        self.former.is_empty() && self.running.is_empty() && self.resting.is_empty()
+    }
+
+    fn receive(&mut self, first: Item, rx: &mut mpsc::Receiver<Item>) {
+        let more = std::iter::from_fn(|| rx.try_recv().ok());
+        self.gather(std::iter::once(first).chain(more));
     }
 
-    fn gather(&mut self, first: Item, rx: &mut mpsc::Receiver<Item>) {
+    fn gather(&mut self, items: impl IntoIterator<Item = Item>) {
         let now = self.clock.now();
-        self.former.push(first, now);
-        while let Ok(item) = rx.try_recv() {
+        for item in items {
             self.former.push(item, now);
         }
     }
 
+    /// Has writes without an answer wait; they go on in company of others.
+    fn rest(&mut self, items: Vec<Item>) {
+        let Some(tries) = items.iter().map(|item| item.tries).max() else { return };
+        let longest = (BACKOFF.0 * (1 << tries.min(DOUBLINGS))).min(BACKOFF.1);
+        let wait = self.jitter.up_to(longest);
+        self.resting.spawn(async move {
+            tokio::time::sleep(wait).await;
+            items
+        });
+    }
+
+    /// How long the table would keep a transaction waiting.
+    fn commit_wait(&self) -> Millis {
+        self.table.commit_wait(Priority::Claim)
+    }
+
     fn start_due(&mut self, draining: bool) {
-        while self.running.len() < self.options.in_flight_max {
+        while self.running.len() < self.options.in_flight_max && self.commit_wait() == Millis::ZERO
+        {
             let Some(items) = self.former.take(self.clock.now(), draining) else { return };
             let batch = Batch {
                 table: Arc::clone(&self.table),
                 fence: Arc::clone(&self.fence),
-                jitter: Arc::clone(&self.jitter),
                 timeout: self.options.timeout,
                 items,
             };
--- a/foxtail-platform/src/guard/budget.rs
+++ b/foxtail-platform/src/guard/budget.rs
@@ -60,14 +60,21 @@
     ///
     /// How long to wait before asking again.
     pub fn take(&mut self, priority: Priority, now: Millis) -> Result<(), Millis> {
-        self.fill(now);
-        let needed = MILLI + self.reserved_milli(priority);
-        if self.left_milli >= needed.min(self.full_milli()) {
-            self.left_milli -= MILLI;
-            return Ok(());
+        match self.wait(priority, now) {
+            Millis::ZERO => {
+                self.left_milli -= MILLI;
+                Ok(())
+            }
+            wait => Err(wait),
         }
-        let lacking = needed.min(self.full_milli()) - self.left_milli;
-        Err(Millis(lacking.div_ceil(self.per_s()).max(1)))
+    }
+
+    /// How long a call of `priority` has to wait.
+    pub fn wait(&mut self, priority: Priority, now: Millis) -> Millis {
+        self.fill(now);
+        let needed = (MILLI + self.reserved_milli(priority)).min(self.full_milli());
+        let lacking = needed.saturating_sub(self.left_milli);
+        Millis(lacking.div_ceil(self.per_s()))
     }
 
     /// Gives way, as the store says that its rate is exceeded.
--- a/foxtail-platform/src/guard/mod.rs
+++ b/foxtail-platform/src/guard/mod.rs
@@ -19,7 +19,7 @@
 pub use breaker::{Breaker, Pass};
 pub use budget::{Budget, Rate};
 
-use crate::table::{Error, Options as CallOptions, Outcome, Row, Table, Txn};
+use crate::table::{Error, Options as CallOptions, Outcome, Priority, Row, Table, Txn};
 
 /// This host's share of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,6 +184,15 @@
         self.end(Kind::Read, pass, rows.as_ref().map_or_else(end_of, |_| End::Answered));
         rows
     }
+
+    fn commit_wait(&self, priority: Priority) -> Millis {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        if state.breaker.is_open() {
+            return Millis::ZERO;
+        }
+        state.writes.wait(priority, now)
+    }
 }
 
 fn end_of(e: &Error) -> End {
--- a/foxtail-platform/src/table.rs
+++ b/foxtail-platform/src/table.rs
@@ -28,6 +28,12 @@
         limit: usize,
         options: Options,
     ) -> Result<Vec<(String, Row)>, Error>;
+
+    /// How long a commit of `priority` would wait in this host for its share of the service. Who
+    /// gathers writes gathers them for this long, rather than queue transactions already formed.
+    fn commit_wait(&self, _priority: Priority) -> Millis {
+        Millis::ZERO
+    }
 }
 
 /// A row of the table.
