--- a/foxtail-node/src/keys.rs
+++ b/foxtail-node/src/keys.rs
@@ -1,11 +1,12 @@
 //! At-most-once execution put together: claims, group commit and the relay between hosts.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use async_trait::async_trait;
 use foxtail_member::View;
 use foxtail_once::collect;
-use foxtail_once::commit::{self, Done, Pace};
+use foxtail_once::commit::{self, Done};
 use foxtail_once::relay::{self, msg::Relayed};
 use foxtail_once::{Claims, Collector, Group, Relay, claims};
 use foxtail_platform::guard::{self, Guard, Rate};
@@ -20,8 +21,6 @@
 const STOP_WAIT: Millis = Millis::secs(10);
 /// How often the live hosts are looked at.
 const FOLLOW_EVERY: Millis = Millis::secs(1);
-/// Transactions a second of the hosts that gather writes, all together.
-const GATHERED_WRITES_PER_S: u32 = 240;
 /// Transactions a second of all hosts together for everything else.
 const OTHER_WRITES_PER_S: u32 = 100;
 /// The least that a host may write, in transactions a second.
@@ -53,7 +52,7 @@
         let table = &(Arc::clone(guard) as Arc<dyn Table>);
         let group = Group::start(Arc::clone(table), Arc::clone(clock), commit::Options::default());
         let own = Arc::clone(&group) as Arc<dyn foxtail_once::Commit>;
-        let relay = Relay::new(Arc::new(RelayPeers(Arc::clone(fleet))), own);
+        let relay = Relay::new(Arc::new(RelayPeers(Arc::clone(fleet))), own, Arc::clone(clock));
         let ports = claims::Ports {
             clock: Arc::clone(clock),
             table: Arc::clone(table),
@@ -89,23 +88,26 @@
             let view = fleet.view.load();
             let near = view.live_in(fleet.region()).filter(|member| member.is_serving());
             let chosen = relay::choose(near.map(|member| &member.identity.id));
-            let gathers = chosen == Some(fleet.me());
-            let share = share(&view, gathers);
-            self.guard.set_share(share);
-            self.group.set_pace(Pace { per_s: share.writes.per_s, burst: share.writes.burst });
-            self.relay.set_target(chosen.filter(|_| !gathers).cloned());
+            self.share(&view, chosen == Some(fleet.me()));
+            self.relay.set_target(chosen.filter(|host| *host != fleet.me()).cloned());
         }
     }
+
+    /// Takes this host's part of the store's budget.
+    fn share(&self, view: &View, is_relay: bool) {
+        let hosts = view.live().count().max(1);
+        let regions: BTreeSet<_> = view.live().map(|member| &member.identity.region).collect();
+        let part = relay::Budget::default().part(hosts, regions.len(), is_relay);
+        self.relay.set_direct(part.direct_per_s);
+        self.group.set_pace(part.pace());
+        self.guard.set_share(store_share(part.pace_per_s, hosts as u32));
+    }
 }
 
-/// What this host may ask of the store: the hosts that gather writes have most of it.
-fn share(view: &View, gathers: bool) -> guard::Options {
-    let hosts = view.live().count().max(1) as u32;
-    let mut regions: Vec<_> = view.live().map(|member| &member.identity.region).collect();
-    regions.sort_unstable();
-    regions.dedup();
-    let gathered = if gathers { GATHERED_WRITES_PER_S / regions.len().max(1) as u32 } else { 0 };
-    let writes = (OTHER_WRITES_PER_S / hosts).max(WRITES_MIN_PER_S) + gathered;
+/// What one of `hosts` may ask of the store: `claims_per_s` writes for claims, and its part of
+/// everything else.
+fn store_share(claims_per_s: u32, hosts: u32) -> guard::Options {
+    let writes = claims_per_s + (OTHER_WRITES_PER_S / hosts).max(WRITES_MIN_PER_S);
     let reads = (READS_PER_S / hosts).max(READS_MIN_PER_S);
     guard::Options {
         writes: Rate { per_s: writes, burst: writes },
