--- a/foxtail-config/src/spec.rs
+++ b/foxtail-config/src/spec.rs
@@ -1,5 +1,6 @@
 //! The compiled configuration that every host holds: what templates and drains come down to.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -136,6 +137,17 @@
     Host(HostId),
 }
 
+impl fmt::Display for DrainTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DrainTarget::Upstream(id) => write!(f, "upstream {id}"),
+            DrainTarget::Zone(id) => write!(f, "zone {id}"),
+            DrainTarget::Region(id) => write!(f, "region {id}"),
+            DrainTarget::Host(id) => write!(f, "host {id}"),
+        }
+    }
+}
+
 impl Snapshot {
     /// The workspace named `id`.
     pub fn workspace(&self, id: &WorkspaceId) -> Option<&Arc<Workspace>> {
--- a/foxtail-sync/src/admin/drains.rs
+++ b/foxtail-sync/src/admin/drains.rs
@@ -69,7 +69,7 @@
     fn plan_drain(&self, loaded: &Loaded, target: &DrainTarget) -> Result<Plan, Error> {
         let network = network(loaded)?;
         if !self.exists(loaded, target)? {
-            return Err(Error::NotFound(describe(target)));
+            return Err(Error::NotFound(target.to_string()));
         }
         let demands = demands(loaded, None);
         let site = Site { network, loads: loads(&demands), drains: &loaded.drains.drains };
@@ -94,12 +94,3 @@
     let row = DrainsRow { version, drains: drains.clone() };
     Draft::new(Item::Drains(drains), &row)
 }
-
-fn describe(target: &DrainTarget) -> String {
-    match target {
-        DrainTarget::Upstream(id) => format!("upstream {id}"),
-        DrainTarget::Zone(id) => format!("zone {id}"),
-        DrainTarget::Region(id) => format!("region {id}"),
-        DrainTarget::Host(id) => format!("host {id}"),
-    }
-}
--- a/foxtail-sync/src/admin/input.rs
+++ b/foxtail-sync/src/admin/input.rs
@@ -55,6 +55,8 @@
 pub struct Shown {
     /// The global version.
     pub version: Version,
+    /// The global version that set the network; 0 if there is none.
+    pub network_version: Version,
     /// The network's input, once there is one.
     pub network: Option<NetworkParams>,
     /// The drains.
--- a/foxtail-sync/src/admin/network.rs
+++ b/foxtail-sync/src/admin/network.rs
@@ -1,11 +1,11 @@
 use std::sync::Arc;
 
-use foxtail_config::headroom::Site;
-use foxtail_config::{NetworkParams, Plan, compile, diff, plan};
+use foxtail_config::headroom::{Site, assess};
+use foxtail_config::{Headroom, NetworkParams, Plan, compile, diff, plan};
 use foxtail_types::prelude::*;
 
 use super::commit::Draft;
-use super::workspaces::{demands, loads};
+use super::workspaces::{demands, loads, network};
 use super::{Accepted, Admin, Error, Planned, Shown};
 use crate::msg::Item;
 use crate::rows::NetworkRow;
@@ -22,6 +22,7 @@
         let workspaces = loaded.workspaces.values();
         Ok(Shown {
             version: loaded.version,
+            network_version: loaded.network.as_ref().map_or(Version(0), |row| row.version),
             network: loaded.network.map(|row| row.params),
             drains: loaded.drains.drains,
             workspaces: workspaces
@@ -30,6 +31,18 @@
         })
     }
 
+    /// The headroom of the configuration in force under the expected load.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the store can't be read or there is no network yet.
+    pub async fn headroom(&self) -> Result<Headroom, Error> {
+        let loaded = store::load(self.table.as_ref()).await?;
+        let demands = demands(&loaded, None);
+        let drains = &loaded.drains.drains;
+        Ok(assess(&Site { network: network(&loaded)?, loads: loads(&demands), drains }))
+    }
+
     /// Plans a change of the network without making it.
     ///
     /// # Errors
--- /dev/null
+++ b/foxtailctl/src/output.rs
@@ -0,0 +1,186 @@
+//! What is printed, as text or as JSON.
+#![expect(clippy::print_stdout, reason = "printing is what this program does")]
+
+use std::fmt::Display;
+
+use foxtail_config::headroom::{Headroom, slots_text};
+use foxtail_sync::admin::{Accepted, HistoryEntry, InForce, Planned, Shown};
+use foxtail_wire::operator::{DrainStatus, Explained, Status};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::exit::Failure;
+
+/// Prints to standard output; notes and failures go to standard error.
+pub(crate) struct Output {
+    json: bool,
+}
+
+impl Output {
+    pub(crate) fn new(json: bool) -> Self {
+        Self { json }
+    }
+
+    pub(crate) fn json<T: Serialize>(&self, value: &T) {
+        let text = serde_json::to_string_pretty(value);
+        println!("{}", text.expect("answers are plain JSON"));
+    }
+
+    pub(crate) fn note(&self, text: &str) {
+        eprintln!("{text}");
+    }
+
+    pub(crate) fn failure(&self, failure: &Failure) {
+        eprintln!("foxtailctl: {failure}");
+        if self.json {
+            match failure {
+                Failure::Refused(e) => self.json(&json!({ "error": e })),
+                Failure::Late(got) => self.json(&json!({ "late": got })),
+                other => self.json(&json!({ "error": other.to_string() })),
+            }
+        }
+    }
+
+    pub(crate) fn plan(&self, planned: &Planned) {
+        if self.json {
+            return self.json(planned);
+        }
+        let plan = &planned.plan;
+        lines("changes:", &plan.changes, "  nothing");
+        headroom(&plan.before, &plan.after);
+        if !plan.refused.is_empty() {
+            lines("would be refused:", &plan.refused, "");
+        }
+    }
+
+    pub(crate) fn accepted(&self, accepted: &Accepted, got: &InForce) {
+        if self.json {
+            return self.json(&json!({ "accepted": accepted, "in_force": got }));
+        }
+        let Accepted { version, workspace, changed } = accepted;
+        if !changed {
+            println!("nothing to change: version {version} is in force");
+            return;
+        }
+        let own = workspace.map_or_else(String::new, |own| format!(" (workspace version {own})"));
+        println!("version {version}{own} is in force on all {} hosts", got.held);
+    }
+
+    pub(crate) fn history(&self, entries: &[HistoryEntry]) {
+        if self.json {
+            return self.json(&entries);
+        }
+        for entry in entries {
+            let HistoryEntry { version, global, at, operator, note } = entry;
+            println!(
+                "version {version}  global {global}  at {}  by {operator}  {note}",
+                at.0 / 1_000
+            );
+        }
+    }
+
+    pub(crate) fn shown(&self, shown: &Shown) {
+        if self.json {
+            return self.json(shown);
+        }
+        eprintln!(
+            "version {}; the network was set at version {}",
+            shown.version, shown.network_version
+        );
+        match &shown.network {
+            Some(network) => self.json(network),
+            None => eprintln!("there is no network yet"),
+        }
+    }
+
+    pub(crate) fn drains(&self, drains: &[DrainStatus]) {
+        if self.json {
+            return self.json(&drains);
+        }
+        if drains.is_empty() {
+            println!("no drains");
+        }
+        for DrainStatus { drain, in_flight } in drains {
+            println!(
+                "{}  started {}  in flight here {in_flight}",
+                drain.target,
+                drain.started.0 / 1_000
+            );
+        }
+    }
+
+    pub(crate) fn status(&self, status: &Status) {
+        if self.json {
+            return self.json(status);
+        }
+        let raised = if status.limits_raised { "" } else { ", raised limits wait" };
+        println!("version {}{raised} (seen from {})", status.version, status.host);
+        for host in &status.hosts {
+            let late = if host.version < status.version { "  BEHIND" } else { "" };
+            let silent = if host.silent { "  SILENT" } else { "" };
+            println!(
+                "  {}  {}  {:?}  version {}  busy {}.{}%{late}{silent}",
+                host.id,
+                host.zone,
+                host.phase,
+                host.version,
+                host.busy_permille / 10,
+                host.busy_permille % 10,
+            );
+        }
+        match &status.headroom {
+            Some(room) => headroom(room, room),
+            None => println!("headroom: unknown, the platform's store can't be read now"),
+        }
+    }
+
+    pub(crate) fn explained(&self, decisions: &[Explained]) {
+        if self.json {
+            return self.json(&decisions);
+        }
+        for decision in decisions {
+            let Explained { host, at, kind, request, service, candidates, chosen, reason, .. } =
+                decision;
+            println!(
+                "{}.{:03} {host} {kind} request={request} service={service}",
+                at.0 / 1_000,
+                at.0 % 1_000
+            );
+            println!("    chosen {chosen}: {reason}");
+            println!("    candidates {candidates}");
+        }
+        if decisions.is_empty() {
+            println!("no decisions are kept on that");
+        }
+    }
+}
+
+fn lines<T: Display>(title: &str, items: &[T], none: &str) {
+    println!("{title}");
+    if items.is_empty() {
+        println!("{none}");
+    }
+    for item in items {
+        println!("  {}", item.to_string().replace('\n', "\n  "));
+    }
+}
+
+fn headroom(before: &Headroom, after: &Headroom) {
+    println!("headroom under the expected load:");
+    for room in &after.pools {
+        let was = before.pools.iter().find(|was| was.pool == room.pool);
+        let was = was.filter(|was| *was != room).map_or_else(String::new, |was| {
+            format!("  (was {} of {})", slots_text(was.used_milli), was.slots)
+        });
+        let used = slots_text(room.used_milli);
+        println!("  {}  {used} of {} slots used{was}", room.pool, room.slots);
+    }
+    for room in &after.links {
+        let was = before.links.iter().find(|was| was.link == room.link);
+        let was = was.filter(|was| *was != room).map_or_else(String::new, |was| {
+            format!("  (was {} of {})", was.used_kbit_per_s / 1_000, was.mbit_per_s)
+        });
+        let used = room.used_kbit_per_s / 1_000;
+        println!("  {}  {used} of {} Mbit/s used{was}", room.link, room.mbit_per_s);
+    }
+}
