--- a/foxtail-node/src/lib.rs
+++ b/foxtail-node/src/lib.rs
@@ -6,10 +6,12 @@
 mod caller;
 pub mod decisions;
 mod fleet;
+mod in_use;
 mod keys;
 mod members;
 mod metrics;
 pub mod node;
+mod operator;
 mod peer;
 mod ready;
 mod serve;
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -25,12 +25,13 @@
 use crate::caller::serve_callers;
 use crate::decisions::{Decision, Decisions};
 use crate::fleet::{Fleet, WatchPeers};
+use crate::in_use::InUse;
 use crate::keys::Keys;
 use crate::metrics::Metrics;
 use crate::peer::PeerHandler;
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{members, ready, stop};
+use crate::{members, operator, ready, stop};
 
 /// The ports to the outside.
 #[derive(Clone)]
@@ -188,7 +189,9 @@
         self.control.spawn(ready::make_ready(Arc::clone(state), stop.clone()));
         let serving = serve_callers(Arc::clone(state), callers, self.stop_callers.clone());
         self.callers.spawn(serving);
-        drop(operators);
+        let table = Arc::clone(&platform.table);
+        let serving = operator::serve(Arc::clone(state), table, operators, stop.clone());
+        self.control.spawn(serving);
     }
 }
 
@@ -247,6 +250,7 @@
         work: TaskTracker::new(),
         body_bytes,
         in_flight: AtomicU32::new(0),
+        in_use: InUse::default(),
         leaving: AtomicBool::new(false),
         warm: AtomicBool::new(false),
         settings,
--- a/foxtail-node/src/serve/run.rs
+++ b/foxtail-node/src/serve/run.rs
@@ -34,6 +34,7 @@
         addr: SocketAddr,
         until: Millis,
     ) -> Self {
+        state.in_use.begin(&ticket.upstream);
         Self {
             state: Arc::clone(state),
             held: Some((ticket, permit)),
@@ -90,6 +91,7 @@
     fn release(&mut self, verdict: Verdict) -> Option<BoxFuture<'static, ()>> {
         let (ticket, permit) = self.held.take()?;
         let upstream = ticket.upstream.clone();
+        self.state.in_use.end(&upstream);
         let took = self.state.clock.now().since(self.started);
         let seen = Seen { verdict, took, answer_bytes: self.bytes, load: self.load };
         self.state.limiter.release(ticket, seen);
--- a/foxtail-node/src/state.rs
+++ b/foxtail-node/src/state.rs
@@ -20,6 +20,7 @@
 
 use crate::decisions::Decisions;
 use crate::fleet::Fleet;
+use crate::in_use::InUse;
 use crate::keys::Keys;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -49,6 +50,7 @@
     /// Bytes of request bodies held.
     pub(crate) body_bytes: Arc<tokio::sync::Semaphore>,
     pub(crate) in_flight: AtomicU32,
+    pub(crate) in_use: InUse,
     pub(crate) leaving: AtomicBool,
     pub(crate) warm: AtomicBool,
 }
--- a/foxtailctl/src/drains.rs
+++ b/foxtailctl/src/drains.rs
@@ -2,7 +2,7 @@
 
 use foxtail_config::DrainTarget;
 use foxtail_types::NameError;
-use foxtail_wire::operator::OperatorClient;
+use foxtail_wire::operator::{DrainStatus, OperatorClient};
 
 use crate::client::Client;
 use crate::exit::Failure;
@@ -12,8 +12,7 @@
 
 pub(crate) async fn run(cmd: &Drain, client: &Client, out: &Output) -> Result<(), Failure> {
     if let DrainAction::Status = cmd.action {
-        out.drains(&client.call(async |host| host.drain_status().await).await?);
-        return Ok(());
+        return status(client, out).await;
     }
     let target = target(cmd)?;
     let accepted = if let DrainAction::Stop = cmd.action {
@@ -29,6 +28,29 @@
     until_in_force(&accepted, cmd.wait, client, out).await
 }
 
+/// Asks every host, since each knows its own requests alone.
+async fn status(client: &Client, out: &Output) -> Result<(), Failure> {
+    let mut drains = client.call(async |host| host.drain_status().await).await?;
+    drains.iter_mut().for_each(|drain| drain.in_flight = 0);
+    let status = client.call(async |host| host.status().await).await?;
+    for host in &status.hosts {
+        let one = client.at(host.operator)?;
+        match one.call(async |host| host.drain_status().await).await {
+            Ok(theirs) => add(&mut drains, &theirs),
+            Err(e) => out.note(&format!("host {} did not answer: {e}", host.id)),
+        }
+    }
+    out.drains(&drains);
+    Ok(())
+}
+
+fn add(drains: &mut [DrainStatus], theirs: &[DrainStatus]) {
+    for drain in drains {
+        let same = theirs.iter().find(|other| other.drain.target == drain.drain.target);
+        drain.in_flight += same.map_or(0, |same| same.in_flight);
+    }
+}
+
 fn target(cmd: &Drain) -> Result<DrainTarget, Failure> {
     let (Some(kind), Some(name)) = (&cmd.kind, &cmd.name) else {
         return Err(Failure::Usage("name what is meant, for example `zone sabah-a`".to_owned()));
--- a/foxtailctl/src/output.rs
+++ b/foxtailctl/src/output.rs
@@ -102,7 +102,7 @@
         }
         for DrainStatus { drain, in_flight } in drains {
             println!(
-                "{}  started {}  in flight here {in_flight}",
+                "{}  started {}  in flight {in_flight}",
                 drain.target,
                 drain.started.0 / 1_000
             );
