--- a/foxtail-node/src/lib.rs
+++ b/foxtail-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod in_use;
 mod keys;
+mod limits;
 mod members;
 mod metrics;
 pub mod node;
