fix(place): an empty block map answers instead of running out of its index

A host that had no map yet panicked on a look-up that named no site: the empty map had no range at all, where the search relies on one that covers everything.

--- a/foxtail-place/src/map.rs
+++ b/foxtail-place/src/map.rs
@@ -131,7 +131,8 @@
 
     /// A map without blocks: the site of every client is unknown.
     pub fn empty() -> Self {
-        let (v4, v6) = (V4::collect([].into_iter()), V6::collect([].into_iter()));
+        let whole = |end| std::iter::once(Range { start: 0, end, site: SiteIndex::NONE });
+        let (v4, v6) = (V4::collect(whole(u32::MAX.into())), V6::collect(whole(u64::MAX)));
         Self { version: Version::default(), sites: Vec::new(), v4, v6 }
     }
 
