--- a/foxtail-node/src/state.rs
+++ b/foxtail-node/src/state.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use foxtail_config::Snapshot;
-use foxtail_limit::Limiter;
+use foxtail_limit::{Limiter, SharedLimiter};
 use foxtail_member::{Phase, Status};
 use foxtail_net::Dial;
 use foxtail_net::http::Client;
@@ -20,6 +20,7 @@
 
 use crate::decisions::Decisions;
 use crate::fleet::Fleet;
+use crate::keys::Keys;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
@@ -34,7 +35,10 @@
     pub(crate) directory: ArcSwapOption<Directory>,
     pub(crate) blocks: ArcSwap<BlockMap>,
     pub(crate) limiter: Arc<dyn Limiter>,
+    /// The limiter as the owner of shares that other hosts ask.
+    pub(crate) owners: Arc<SharedLimiter>,
     pub(crate) gate: Arc<dyn Gate>,
+    pub(crate) keys: Keys,
     pub(crate) watch: Watch,
     pub(crate) crashes: Detector,
     pub(crate) budgets: Budgets,
