--- a/foxtail-lab/examples/experiment.rs
+++ b/foxtail-lab/examples/experiment.rs
@@ -6,7 +6,8 @@
 
 use std::thread;
 
-use foxtail_lab::model::policy::{Ideal, StaticShares, TwoChoices};
+use foxtail_lab::model::policy::owned::{self, Remote};
+use foxtail_lab::model::policy::{Ideal, Owned, StaticShares, TwoChoices};
 use foxtail_lab::model::{Figures, Health, Micros, Workload, run};
 use foxtail_lab::shape::{Shape, fondo, tali_selamat};
 
@@ -16,6 +17,14 @@
 const DEFAULT_SEED: u64 = 7;
 const DEFAULT_SECS: u64 = 60;
 
+const VARIANTS: [(&str, Remote, u64); 5] = [
+    ("home-only", Remote::Ticket, 0),
+    ("ticket-500", Remote::Ticket, 500),
+    ("ticket-100", Remote::Ticket, 100),
+    ("fwd-500", Remote::Forward, 500),
+    ("fwd-100", Remote::Forward, 100),
+];
+
 /// One line of the table.
 struct Line {
     policy: &'static str,
@@ -62,11 +71,17 @@
 
 fn one_case(shape: &Shape, load: f64, health: Health, seed: u64, secs: u64) -> Case {
     let workload = Workload::new(shape, load, health, Micros(secs * 1_000_000), seed);
-    let lines = vec![
+    let mut lines = vec![
         Line { policy: "static", figures: run(shape, &workload, StaticShares::new) },
         Line { policy: "two-choices", figures: run(shape, &workload, |_| TwoChoices::new(seed)) },
         Line { policy: "ideal", figures: run(shape, &workload, Ideal::new) },
     ];
+    for (name, remote, period_ms) in VARIANTS {
+        let report_period = (period_ms > 0).then(|| Micros::from_ms(period_ms as f64));
+        let options = owned::Options { remote, report_period };
+        let figures = run(shape, &workload, |world| Owned::new(world, options));
+        lines.push(Line { policy: name, figures });
+    }
     Case { workspace: shape.workspace_id().to_string(), health, load, lines }
 }
 
--- a/foxtail-lab/src/lib.rs
+++ b/foxtail-lab/src/lib.rs
@@ -3,5 +3,9 @@
 //! [`shape`] holds the two users' workspaces as the brief gives them. [`model`] is an event-driven
 //! model of callers, hosts and upstreams in virtual time that compares policies.
 
+pub mod fleet;
+pub mod load;
 pub mod model;
+pub mod operator;
+pub mod report;
 pub mod shape;
--- a/foxtail-lab/src/model/world.rs
+++ b/foxtail-lab/src/model/world.rs
@@ -71,6 +71,8 @@
     pub host: usize,
     /// When its caller stops waiting, as the entry host reckons.
     pub deadline: Micros,
+    /// The host that sent its last attempt.
+    pub sender: usize,
     /// Attempts so far.
     pub attempts: u32,
     /// When its last run began.
@@ -189,7 +191,7 @@
             return Micros(0);
         }
         if a.region != b.region {
-            return self.shape.network.links[0].delay.into();
+            return self.region_delay();
         }
         if a.zone != b.zone {
             return Micros(ZONE_ROUND_TRIP.0 * 500);
@@ -213,8 +215,14 @@
 
     /// Sends the request from its entry host to a server.
     pub fn dispatch(&mut self, req: usize, server: usize) {
+        self.dispatch_from(req, self.requests[req].host, server);
+    }
+
+    /// Sends the request from the host `sender` to a server.
+    pub fn dispatch_from(&mut self, req: usize, sender: usize, server: usize) {
         self.requests[req].attempts += 1;
-        let host = self.hosts[self.requests[req].host];
+        self.requests[req].sender = sender;
+        let host = self.hosts[sender];
         let node = self.servers[server].node;
         let at = self.crossed(host, node, REQUEST_BYTES);
         if host.region != node.region && !self.ways_are_free {
@@ -223,6 +231,36 @@
         self.push(at, Event::AtServer(req, server));
     }
 
+    /// Sends bytes from one host to another; returns when the last has come, from now.
+    pub fn cross(&mut self, from: usize, to: usize, bytes: u64) -> Micros {
+        self.crossed(self.hosts[from], self.hosts[to], bytes).since(self.now)
+    }
+
+    /// Counts a request that leaves the region of its entry host.
+    pub fn count_shift(&mut self, entry: usize) {
+        self.tally.shifted(self.hosts[entry].region, self.now);
+    }
+
+    /// The delay of a message between two hosts; none if they are the same.
+    pub fn host_delay(&self, a: usize, b: usize) -> Micros {
+        if a == b { Micros(0) } else { self.delay(self.hosts[a], self.hosts[b]) }
+    }
+
+    /// One way between two regions.
+    pub fn region_delay(&self) -> Micros {
+        self.shape.network.links[0].delay.into()
+    }
+
+    /// There and back between two zones of a region.
+    pub fn zone_round_trip(&self) -> Micros {
+        ZONE_ROUND_TRIP.into()
+    }
+
+    /// When the arrivals end.
+    pub fn until(&self) -> Micros {
+        self.workload.until
+    }
+
     /// Passes the answer on to the caller.
     pub fn answer(&mut self, req: usize) {
         let request = self.requests[req];
@@ -262,6 +300,7 @@
             class: spec.class,
             host,
             deadline,
+            sender: host,
             attempts: 0,
             started: Micros(0),
         });
@@ -317,7 +356,7 @@
 
     /// Sends `bytes` and the end of the attempt from the server to the entry host.
     fn back(&mut self, req: usize, server: usize, attempt: Attempt, bytes: u64) {
-        let host = self.hosts[self.requests[req].host];
+        let host = self.hosts[self.requests[req].sender];
         let at = self.crossed(self.servers[server].node, host, bytes);
         self.push(at, Event::Ended(req, attempt));
     }
