--- a/foxtail-limit/src/station/stop.rs
+++ b/foxtail-limit/src/station/stop.rs
@@ -3,7 +3,7 @@
 use foxtail_platform::table::{self, Txn, Write};
 use foxtail_types::prelude::*;
 
-use super::store::written;
+use super::store::{READ_BACK_AFTER, written};
 use super::{Action, Op, OpId, Parts, Station};
 use crate::msg::{Held, Reply, Request};
 use crate::{ShardId, Unreachable};
@@ -67,7 +67,7 @@
         outcome: table::Outcome,
     ) {
         self.heard(&outcome);
-        self.next_read = now;
+        self.next_read = self.next_read.min(now + READ_BACK_AFTER);
         if let Some(lease) = self.leases.get_mut(shard) {
             lease.settle(now, written(&outcome, 0), write);
         }
