fix(limit): keep suspects in the list of hosts that may take over

An owner that can't reach the store goes on once all other hosts of its region have promised to leave its shards alone. The live host left suspects out of that list, so that a suspect that still reached the store could have taken over beside the owner. The list is now passed whole, and suspects only go last when owners are looked for and chosen. A host also missed configurations that came after the first, as reading the change had marked it as seen.

--- a/foxtail-limit/src/lib.rs
+++ b/foxtail-limit/src/lib.rs
@@ -14,8 +14,8 @@
 //!    [`msg::Request`] with [`SharedLimiter::serve`]. It may wait as long as a request's deadline;
 //!    drop the future when the asking host has gone.
 //! 4. Call [`SharedLimiter::configure`] for each new configuration, and
-//!    [`SharedLimiter::set_hosts`] for each reading of the platform's list of hosts (once a second
-//!    or so, unchanged lists included).
+//!    [`SharedLimiter::set_hosts`] for each change of the platform's list of hosts: the whole list,
+//!    as a suspect that is left out could take over unasked.
 //! 5. For each [`Ticket`]: stop using it before `expires`, send the upstream no later deadline than
 //!    that, and give it to [`Limiter::release`] exactly once.
 
--- a/foxtail-limit/src/shared/mod.rs
+++ b/foxtail-limit/src/shared/mod.rs
@@ -81,10 +81,15 @@
         self.hosted.configure(snapshot);
     }
 
-    /// Takes over the list of hosts.
-    pub fn set_hosts(&self, hosts: &[HostEntry]) {
-        self.hosts.store(Arc::new(hosts.to_vec()));
-        self.station.lock().set_hosts(hosts);
+    /// Takes over the platform's list of hosts, whole, and those of them that seem dead.
+    ///
+    /// What must be safe goes by the list alone; suspects are only passed over when owners are
+    /// looked for and chosen.
+    pub fn set_hosts(&self, hosts: &[HostEntry], suspects: &[HostId]) {
+        let mut near: Vec<HostEntry> = hosts.to_vec();
+        near.retain(|host| !suspects.contains(&host.id));
+        self.hosts.store(Arc::new(near));
+        self.station.lock().set_hosts(hosts, suspects);
     }
 
     /// What is to be done about ownership now.
--- a/foxtail-limit/src/station/mod.rs
+++ b/foxtail-limit/src/station/mod.rs
@@ -38,6 +38,7 @@
     pick: Arc<dyn Pick>,
     snapshot: Arc<Snapshot>,
     hosts: Vec<HostEntry>,
+    suspects: Vec<HostId>,
     leases: BTreeMap<ShardId, Lease>,
     terms: BTreeMap<ShardId, Term>,
     claimed: HashMap<ShardId, (Epoch, Claim)>,
@@ -139,6 +140,7 @@
             pick,
             snapshot: snapshot.clone(),
             hosts: Vec::new(),
+            suspects: Vec::new(),
             leases: BTreeMap::new(),
             terms: BTreeMap::new(),
             claimed: HashMap::new(),
@@ -167,9 +169,10 @@
         self.snapshot = snapshot;
     }
 
-    /// Takes over the platform's list of hosts.
-    pub fn set_hosts(&mut self, hosts: &[HostEntry]) {
+    /// Takes over the platform's list of hosts, whole, and those of them that seem dead.
+    pub fn set_hosts(&mut self, hosts: &[HostEntry], suspects: &[HostId]) {
         self.hosts = hosts.to_vec();
+        self.suspects = suspects.to_vec();
     }
 
     /// Begins to hand over all that this host owns.
@@ -232,9 +235,10 @@
         others.filter(|host| host.region == self.me.region).map(|host| &host.id)
     }
 
-    /// The other live hosts of the region.
+    /// The other hosts of the region that can own shards.
     fn live_kin(&self) -> impl Iterator<Item = &HostId> {
         let others = self.hosts.iter().filter(|host| host.id != self.me.host);
+        let others = others.filter(|host| !self.suspects.contains(&host.id));
         let kin = others.filter(|host| host.region == self.me.region);
         kin.filter(|host| host.state == HostState::Live).map(|host| &host.id)
     }
--- a/foxtail-limit/tests/live.rs
+++ b/foxtail-limit/tests/live.rs
@@ -58,7 +58,7 @@
                 Arc::new(MostFree),
                 snapshot.clone(),
             );
-            limiter.set_hosts(&entries);
+            limiter.set_hosts(&entries, &[]);
             mesh.hosts.lock().insert(host, Arc::downgrade(&limiter));
             let stop = CancellationToken::new();
             let driver = tokio::spawn(driver::run(limiter.clone(), table.clone(), stop.clone()));
--- a/foxtail-node/src/limits.rs
+++ b/foxtail-node/src/limits.rs
@@ -60,23 +60,25 @@
 ) {
     let mut ticks = tokio::time::interval(FOLLOW_EVERY.duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut known = Vec::new();
+    let mut known = (Vec::new(), Vec::new());
+    config.mark_changed();
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            Ok(()) = config.changed() => {}
-            _ = ticks.tick() => {}
-        }
-        if config.has_changed().unwrap_or(false) || known.is_empty() {
-            let snapshot = config.borrow_and_update().clone();
-            if let Some(snapshot) = snapshot {
-                limiter.configure(&snapshot);
+            Ok(()) = config.changed() => {
+                let snapshot = config.borrow_and_update().clone();
+                if let Some(snapshot) = snapshot {
+                    limiter.configure(&snapshot);
+                }
+            }
+            _ = ticks.tick() => {
+                let hosts = hosts(&fleet.view.load());
+                if hosts != known {
+                    let (entries, suspects) = &hosts;
+                    limiter.set_hosts(entries, suspects);
+                    known = hosts;
+                }
             }
-        }
-        let hosts = hosts(&fleet.view.load());
-        if hosts != known {
-            limiter.set_hosts(&hosts);
-            known = hosts;
         }
     }
 }
@@ -100,9 +102,11 @@
     }
 }
 
-/// The hosts that take part, and those that leave.
-fn hosts(view: &View) -> Vec<HostEntry> {
-    view.hosts.iter().filter(|member| !member.suspect).map(entry).collect()
+/// All hosts that the platform lists, and those of them that seem dead.
+fn hosts(view: &View) -> (Vec<HostEntry>, Vec<HostId>) {
+    let suspects = view.hosts.iter().filter(|member| member.suspect);
+    let suspects = suspects.map(|member| member.identity.id.clone()).collect();
+    (view.hosts.iter().map(entry).collect(), suspects)
 }
 
 fn entry(member: &Member) -> HostEntry {
@@ -121,7 +125,7 @@
 
 /// The configuration of a host that has none yet.
 fn nothing() -> Snapshot {
-    let network = Network { regions: Vec::new(), links: Vec::new(), owner_shards: 1 };
+    let network = Network { regions: Vec::new(), links: Vec::new(), owner_shards: 0 };
     Snapshot {
         version: Version::default(),
         network: Arc::new(network),
