feat(retry): guards, trials and convictions hold under late and lost messages

A model of many hosts, callers that send again everywhere and a faulty table showed four faults: a grant whose answer was lost was never given back and later counted as a lost run; requests that run all the time shared both crashes and were convicted; a trial whose end met a failing table counted against the request; hosts that could not reach a guard used their own. Events outside trials now count once, ends are told to every guard that was asked and tried again, and a request without a guard runs as a trial.

--- a/foxtail-node/src/serve/collect.rs
+++ b/foxtail-node/src/serve/collect.rs
@@ -93,11 +93,7 @@
 }
 
 /// Reads up to `limit` bytes of an answer, as long as `run` may last.
-pub(crate) async fn collect(
-    mut body: Incoming,
-    run: &mut Run,
-    limit: usize,
-) -> Collected {
+pub(crate) async fn collect(mut body: Incoming, run: &mut Run, limit: usize) -> Collected {
     let span = run.left();
     let mut buf = BytesMut::new();
     let read = async {
--- a/foxtail-node/src/serve/once.rs
+++ b/foxtail-node/src/serve/once.rs
@@ -87,7 +87,9 @@
                 return self.release(attempt, refused, tx).await;
             }
             match tries.send(ready).await {
-                Attempt::Answer(answer, run) => return self.answer(attempt, *answer, run, tx).await,
+                Attempt::Answer(answer, run) => {
+                    return self.answer(attempt, *answer, run, tx).await;
+                }
                 Attempt::Lost(verdict) => {
                     tracing::warn!(event = "attempt_lost", request = %call.meta.id, ?verdict);
                     return self.lose(attempt, tx).await;
--- a/foxtail-retry/src/guard.rs
+++ b/foxtail-retry/src/guard.rs
@@ -40,7 +40,7 @@
     Go,
     /// It may, but the run before was never reported to have ended: its host may have been lost
     /// together with what it knew of a crash.
-    AfterLost(RunId),
+    AfterLost,
     /// Another run is under way.
     Wait,
 }
@@ -53,9 +53,9 @@
         match before {
             Some(run) if run.id == id => Begin::Go,
             Some(run) if now < run.until => Begin::Wait,
-            Some(run) => {
+            Some(_) => {
                 runs.remove(&fp);
-                Begin::AfterLost(run.id)
+                Begin::AfterLost
             }
             None if runs.len() >= RUNS_MAX => {
                 runs.retain(|_, run| now < run.until);
--- a/foxtail-retry/src/record.rs
+++ b/foxtail-retry/src/record.rs
@@ -6,7 +6,7 @@
 
 /// The most marks that a record keeps. As many always convict.
 const MARKS_MAX: usize = 4;
-/// So much weight convicts: a crash and any other event, or three lone breaks.
+/// So much weight convicts: a crash and another event, one of them in a trial, or three breaks.
 const CONVICTING_WEIGHT: u32 = 3;
 /// How long a suspicion or its clearing is remembered.
 pub const SUSPECT_TTL: Millis = Millis::secs(600);
@@ -27,6 +27,12 @@
 #[serde(transparent)]
 pub struct MarkId(pub u64);
 
+impl MarkId {
+    /// All events outside trials together, so that they count once: up to two innocent requests
+    /// share each upstream that crashes, and those that run all the time share it again and again.
+    pub const OUTSIDE_TRIAL: MarkId = MarkId(0);
+}
+
 /// What is known of a fingerprint.
 ///
 /// [`Record::merge`] is commutative, associative and idempotent, so news may come twice, late and
@@ -82,7 +88,8 @@
 
     /// Adds an event.
     pub fn mark(&mut self, id: MarkId, evidence: Evidence, wall: Millis) {
-        self.marks.insert(id, evidence);
+        let known = self.marks.entry(id).or_insert(evidence);
+        *known = evidence.max(*known);
         self.expires = self.expires.max(wall + SUSPECT_TTL);
         self.settle(wall);
     }
--- a/foxtail-retry/src/trial.rs
+++ b/foxtail-retry/src/trial.rs
@@ -18,6 +18,10 @@
 
 /// The longest wait for the table.
 const TABLE_TIMEOUT: Millis = Millis(500);
+/// How often the end of a trial, and the fate of a write whose reply was lost, is tried to be told.
+const TRIES: usize = 5;
+/// The pause between two tries.
+const TRY_AGAIN_AFTER: Millis = Millis(100);
 /// What is added to a trial's time before it may be taken over.
 const GRACE: Millis = Millis::secs(2);
 /// The most rows that are watched for a take-over.
@@ -173,10 +177,15 @@
             let change = Change::Put(encode(record));
             writes.push(Write { key, expect: Expect::Any, change });
         }
-        match commit(table, writes).await {
-            Outcome::Committed(_) | Outcome::Conflict { .. } => Ok(()),
-            Outcome::Failed(_) | Outcome::Ambiguous(_) => Err(Refusal::Store),
+        for _ in 0..TRIES {
+            match commit(table, writes.clone()).await {
+                Outcome::Committed(_) | Outcome::Conflict { .. } => return Ok(()),
+                Outcome::Failed(_) | Outcome::Ambiguous(_) => {
+                    tokio::time::sleep(TRY_AGAIN_AFTER.duration()).await;
+                }
+            }
         }
+        Err(Refusal::Store)
     }
 }
 
@@ -200,8 +209,13 @@
 /// Finds out whether a write whose reply was lost took effect: its run's number is in the row.
 async fn read_back(table: &dyn Table, key: &str) -> Result<Option<Row>, Refusal> {
     let keys = [key.to_owned()];
-    let rows = table.read(&keys, options()).await.map_err(|_| Refusal::Store)?;
-    Ok(rows.into_iter().next().flatten())
+    for _ in 0..TRIES {
+        if let Ok(rows) = table.read(&keys, options()).await {
+            return Ok(rows.into_iter().next().flatten());
+        }
+        tokio::time::sleep(TRY_AGAIN_AFTER.duration()).await;
+    }
+    Err(Refusal::Store)
 }
 
 async fn commit(table: &dyn Table, writes: Vec<Write>) -> Outcome {
--- a/foxtail-retry/src/watch.rs
+++ b/foxtail-retry/src/watch.rs
@@ -6,8 +6,11 @@
 //! - first: a guard, one host of the caller's region, lets it run once at a time.
 //! - trial: an upstream broke under it. It runs one at a time in the whole system, by a row of the
 //!   table; one answer clears it, a second crash convicts it. Without the table it does not run.
+//!   A request whose guards do not answer runs in this way too.
 //!
-//! So the first crash happens under the guard, the second in a trial, and there is no third.
+//! So the first crash happens under the guard, the second in a trial, and there is no third. While
+//! a request's guard can't be reached from some hosts, a second guard may let a copy run at the
+//! same time, and there may be one more.
 
 use std::sync::Arc;
 
@@ -107,12 +110,9 @@
     Trial(Trial),
 }
 
-/// The guard that let a run begin, and one that was asked before and did not answer.
-#[derive(Debug)]
-struct Guards {
-    guard: HostId,
-    silent: Option<HostId>,
-}
+/// The guard that let a run begin, and those that were asked and may have done so unheard.
+#[derive(Debug, Default)]
+struct Guards(Vec<HostId>);
 
 impl Permit {
     /// How the attempt runs, for logs.
@@ -151,22 +151,40 @@
     ///
     /// The [`Outcome`] for the caller if the request may not run.
     pub async fn admit(&self, case: &Case<'_>) -> Result<Permit, Outcome> {
-        let fp = case.fp;
         let run = RunId(rand::random());
+        let mut asked = Guards::default();
+        let admitted = self.admit_run(case, run, &mut asked).await;
+        match admitted {
+            Ok(Way::First(_)) => Ok(Permit { fp: case.fp, run, way: Way::First(asked) }),
+            other => {
+                self.end_run(&asked, Done { fp: case.fp, run, ended: Ended::Nothing }).await;
+                other.map(|way| Permit { fp: case.fp, run, way })
+            }
+        }
+    }
+
+    async fn admit_run(
+        &self,
+        case: &Case<'_>,
+        run: RunId,
+        asked: &mut Guards,
+    ) -> Result<Way, Outcome> {
         while self.clock.now() < case.deadline {
-            match self.standing(fp) {
+            match self.standing(case.fp) {
                 Standing::Convicted => return Err(convicted()),
-                Standing::Suspect => return self.trial(case, run).await,
-                Standing::Clear if self.proven.contains(fp, self.clock.now()) => {
-                    return Ok(Permit { fp, run, way: Way::Proven });
+                Standing::Suspect => return self.trial(case, run).await.map(Way::Trial),
+                Standing::Clear if self.proven.contains(case.fp, self.clock.now()) => {
+                    return Ok(Way::Proven);
                 }
                 Standing::Clear => {}
             }
-            let (guards, leave) = self.ask(case, run).await;
+            let Some(leave) = self.ask(case, run, asked).await else {
+                return self.trial(case, run).await.map(Way::Trial);
+            };
             match leave {
-                Leave::Run => return Ok(Permit { fp, run, way: Way::First(guards) }),
+                Leave::Run => return Ok(Way::First(Guards::default())),
                 Leave::Busy => {}
-                Leave::Recorded(record) => self.receive(&News { fp, record }),
+                Leave::Recorded(record) => self.receive(&News { fp: case.fp, record }),
             }
         }
         Err(not_run(Reason::DeadlinePassed))
@@ -175,14 +193,14 @@
     /// Gives back a permit with how the attempt ended.
     pub async fn finish(&self, permit: Permit, ended: Ended) {
         let Permit { fp, run, way } = permit;
-        self.learn(fp, run, ended, matches!(way, Way::Trial(_)));
+        let mark = match way {
+            Way::Trial(_) => MarkId(run.0),
+            Way::Proven | Way::First(_) => MarkId::OUTSIDE_TRIAL,
+        };
+        self.learn(fp, mark, ended);
         match way {
             Way::Proven => {}
-            Way::First(guards) => {
-                for host in guards.silent.iter().chain([&guards.guard]) {
-                    self.end_run(host, Done { fp, run, ended }).await;
-                }
-            }
+            Way::First(guards) => self.end_run(&guards, Done { fp, run, ended }).await,
             Way::Trial(trial) => self.end_trial(fp, trial, ended).await,
         }
     }
@@ -202,7 +220,7 @@
 
     /// Takes note of a run that a peer has ended.
     pub fn done(&self, done: Done) {
-        self.learn(done.fp, done.run, done.ended, false);
+        self.learn(done.fp, MarkId::OUTSIDE_TRIAL, done.ended);
         self.guard.end(done.fp, done.run);
     }
 
@@ -225,26 +243,43 @@
         self.suspects.standing(fp, self.clock.wall())
     }
 
-    async fn ask(&self, case: &Case<'_>, run: RunId) -> (Guards, Leave) {
+    /// Asks the guards in turn and takes the first answer, if there is one. `asked` gets those
+    /// that may have let the run begin.
+    async fn ask(&self, case: &Case<'_>, run: RunId, asked: &mut Guards) -> Option<Leave> {
         let within = case.deadline.since(self.clock.now()) + GRACE;
         let ask = Ask { fp: case.fp, run, within };
-        let mut silent = None;
-        for guard in guards(case.fp, case.hosts).take_while(|guard| **guard != self.own) {
-            let timeout = GUARD_TIMEOUT + WAIT_MAX;
-            if let Ok(leave) = self.peers.ask(guard, ask, timeout).await {
-                return (Guards { guard: guard.clone(), silent }, leave);
+        for guard in guards(case.fp, case.hosts) {
+            let answer = match *guard == self.own {
+                true => Ok(self.serve(ask).await),
+                false => self.ask_peer(guard, ask).await,
+            };
+            let may_run = !matches!(answer, Ok(Leave::Busy | Leave::Recorded(_)));
+            if may_run && !asked.0.contains(guard) {
+                asked.0.push(guard.clone());
+            }
+            if let Ok(leave) = answer {
+                return Some(leave);
             }
             tracing::info!(event = "guard-unreachable", host = %guard, fingerprint = %case.fp);
-            silent = Some(guard.clone());
         }
-        (Guards { guard: self.own.clone(), silent }, self.serve(ask).await)
+        None
     }
 
-    async fn end_run(&self, guard: &HostId, done: Done) {
-        if *guard == self.own {
-            self.guard.end(done.fp, done.run);
-        } else {
-            self.peers.done(guard, done).await;
+    async fn ask_peer(&self, guard: &HostId, ask: Ask) -> Result<Leave, Unreachable> {
+        let timeout = GUARD_TIMEOUT + WAIT_MAX;
+        match self.peers.ask(guard, ask, timeout).await {
+            Ok(leave) => Ok(leave),
+            Err(Unreachable) => self.peers.ask(guard, ask, timeout).await,
+        }
+    }
+
+    async fn end_run(&self, guards: &Guards, done: Done) {
+        for guard in &guards.0 {
+            if *guard == self.own {
+                self.guard.end(done.fp, done.run);
+            } else {
+                self.peers.done(guard, done).await;
+            }
         }
     }
 
@@ -261,21 +296,20 @@
         match self.guard.begin(fp, run, now + within, now) {
             Begin::Go => Leave::Run,
             Begin::Wait => Leave::Busy,
-            Begin::AfterLost(lost) => {
-                self.learn(fp, lost, Ended::Broke(Evidence::Break), false);
+            Begin::AfterLost => {
+                self.learn(fp, MarkId::OUTSIDE_TRIAL, Ended::Broke(Evidence::Break));
                 Leave::Recorded(self.suspects.record(fp))
             }
         }
     }
 
-    /// Draws the conclusions from a run. The run's number marks the event, so that the guard and
-    /// the host that ran it count it once.
-    fn learn(&self, fp: Fingerprint, run: RunId, ended: Ended, trial: bool) {
+    /// Draws the conclusions from a run.
+    fn learn(&self, fp: Fingerprint, mark: MarkId, ended: Ended) {
         let wall = self.clock.wall();
         match ended {
             Ended::Nothing => {}
             Ended::Answered => {
-                if trial {
+                if mark != MarkId::OUTSIDE_TRIAL {
                     tracing::info!(event = "suspect-cleared", fingerprint = %fp);
                     self.peers.spread(self.suspects.clear(fp, wall));
                 }
@@ -285,7 +319,7 @@
             }
             Ended::Broke(evidence) => {
                 self.proven.forget(fp);
-                let news = self.suspects.mark(fp, MarkId(run.0), evidence, wall);
+                let news = self.suspects.mark(fp, mark, evidence, wall);
                 let standing = news.record.standing();
                 tracing::warn!(event = "suspect", fingerprint = %fp, ?evidence, ?standing);
                 self.peers.spread(news);
@@ -294,7 +328,7 @@
     }
 
     /// Waits until no other suspect of the service runs, then begins a trial.
-    async fn trial(&self, case: &Case<'_>, run: RunId) -> Result<Permit, Outcome> {
+    async fn trial(&self, case: &Case<'_>, run: RunId) -> Result<Trial, Outcome> {
         let fp = case.fp;
         while self.clock.now() < case.deadline {
             let within = case.deadline.since(self.clock.now());
@@ -302,10 +336,10 @@
             let suspect = Suspect { workspace, service, fp, run, within };
             let (table, clock) = (self.table.as_ref(), self.clock.as_ref());
             match self.trials.begin(table, clock, &suspect).await {
-                Ok(trial) => return self.begun(case, run, trial).await,
+                Ok(trial) => return self.begun(case, trial).await,
                 Err(trial::Refusal::Busy) => tokio::time::sleep(TRIAL_STEP.duration()).await,
                 Err(trial::Refusal::Lost(lost)) => {
-                    self.learn(lost.fp, lost.run, Ended::Broke(Evidence::Break), false);
+                    self.learn(lost.fp, MarkId(lost.run.0), Ended::Broke(Evidence::Break));
                 }
                 Err(trial::Refusal::Store) => return Err(not_run(Reason::StoreUnavailable)),
                 Err(trial::Refusal::Convicted(record)) => {
@@ -318,11 +352,11 @@
     }
 
     /// A trial has begun, and may have done so late, or after news of a conviction.
-    async fn begun(&self, case: &Case<'_>, run: RunId, trial: Trial) -> Result<Permit, Outcome> {
+    async fn begun(&self, case: &Case<'_>, trial: Trial) -> Result<Trial, Outcome> {
         let fp = case.fp;
         let convicted_since = self.standing(fp) == Standing::Convicted;
         if !convicted_since && self.clock.now() < case.deadline {
-            return Ok(Permit { fp, run, way: Way::Trial(trial) });
+            return Ok(trial);
         }
         self.end_trial(fp, trial, Ended::Nothing).await;
         Err(if convicted_since { convicted() } else { not_run(Reason::DeadlinePassed) })
--- a/foxtail-retry/tests/support/mod.rs
+++ b/foxtail-retry/tests/support/mod.rs
@@ -13,3 +13,5 @@
         ..Config::default()
     })
 }
+
+pub(crate) mod fleet;
