--- a/foxtail-node/src/keys.rs
+++ b/foxtail-node/src/keys.rs
@@ -21,7 +21,7 @@
 const STOP_WAIT: Millis = Millis::secs(10);
 /// How often the live hosts are looked at.
 const FOLLOW_EVERY: Millis = Millis::secs(1);
-/// Transactions a second of all hosts together for everything else.
+/// Transactions a second of all hosts together for everything but claims.
 const OTHER_WRITES_PER_S: u32 = 100;
 /// The least that a host may write, in transactions a second.
 const WRITES_MIN_PER_S: u32 = 2;
@@ -88,26 +88,26 @@
             let view = fleet.view.load();
             let near = view.live_in(fleet.region()).filter(|member| member.is_serving());
             let chosen = relay::choose(near.map(|member| &member.identity.id));
-            self.share(&view, chosen == Some(fleet.me()));
-            self.relay.set_target(chosen.filter(|host| *host != fleet.me()).cloned());
+            let gathers = chosen == Some(fleet.me());
+            self.share(&view, gathers);
+            self.relay.set_target(chosen.filter(|_| !gathers).cloned());
         }
     }
 
-    /// Takes this host's part of the store's budget.
-    fn share(&self, view: &View, is_relay: bool) {
+    /// Takes this host's share of the store: the hosts that gather writes have most of it.
+    fn share(&self, view: &View, gathers: bool) {
         let hosts = view.live().count().max(1);
         let regions: BTreeSet<_> = view.live().map(|member| &member.identity.region).collect();
-        let part = relay::Budget::default().part(hosts, regions.len(), is_relay);
+        let part = relay::Budget::default().part(hosts, regions.len(), gathers);
         self.relay.set_direct(part.direct_per_s);
         self.group.set_pace(part.pace());
-        self.guard.set_share(store_share(part.pace_per_s, hosts as u32));
+        self.guard.set_share(share(hosts as u32, part.pace_per_s));
     }
 }
 
-/// What one of `hosts` may ask of the store: `claims_per_s` writes for claims, and its part of
-/// everything else.
-fn store_share(claims_per_s: u32, hosts: u32) -> guard::Options {
-    let writes = claims_per_s + (OTHER_WRITES_PER_S / hosts).max(WRITES_MIN_PER_S);
+/// What one of `hosts` may ask of the store, with `claims_per_s` transactions of claims.
+fn share(hosts: u32, claims_per_s: u32) -> guard::Options {
+    let writes = (OTHER_WRITES_PER_S / hosts).max(WRITES_MIN_PER_S) + claims_per_s;
     let reads = (READS_PER_S / hosts).max(READS_MIN_PER_S);
     guard::Options {
         writes: Rate { per_s: writes, burst: writes },
