test(node): configuration at live hosts, with an outage right after acceptance

Also mends the limits' follower: it asked whether the configuration had changed after the wait had already marked it as seen, so that only the first one was taken.

--- a/foxtail-node/src/limits.rs
+++ b/foxtail-node/src/limits.rs
@@ -61,17 +61,19 @@
     let mut ticks = tokio::time::interval(FOLLOW_EVERY.duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut known = Vec::new();
+    let mut configured = None;
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
             Ok(()) = config.changed() => {}
             _ = ticks.tick() => {}
         }
-        if config.has_changed().unwrap_or(false) || known.is_empty() {
-            let snapshot = config.borrow_and_update().clone();
-            if let Some(snapshot) = snapshot {
-                limiter.configure(&snapshot);
+        let snapshot = config.borrow_and_update().clone();
+        if snapshot != configured {
+            if let Some(snapshot) = &snapshot {
+                limiter.configure(snapshot);
             }
+            configured = snapshot;
         }
         let hosts = hosts(&fleet.view.load());
         if hosts != known {
