--- a/foxtail-node/tests/config.rs
+++ b/foxtail-node/tests/config.rs
@@ -14,6 +14,7 @@
 use foxtail_time::BootClock;
 use foxtail_types::prelude::*;
 use foxtail_wire::operator::OperatorClient;
+use futures::future::join_all;
 use jsonrpsee::http_client::{HeaderMap, HttpClient, HttpClientBuilder};
 use serde::de::DeserializeOwned;
 
@@ -109,10 +110,9 @@
     }
 
     async fn end(self) {
+        self.platform.platform().fault(|faults| faults.down = None);
         let options = stop::Options { settle: Millis::ZERO, finish: Millis::secs(5) };
-        for node in self.nodes {
-            node.stop(options).await;
-        }
+        join_all(self.nodes.into_iter().map(|node| node.stop(options))).await;
         self.platform.stop().await;
     }
 }
