--- a/foxtail-limit/src/station/store.rs
+++ b/foxtail-limit/src/station/store.rs
@@ -11,6 +11,8 @@
 
 /// How often a host reads the rows of shards for which it is a candidate.
 const WATCH_EVERY: Millis = Millis(500);
+/// The pause before a row is read back after a write that may have failed.
+pub(super) const READ_BACK_AFTER: Millis = Millis(50);
 /// How often other hosts do.
 const LOOK_EVERY: Millis = Millis(5_000);
 
@@ -85,7 +87,7 @@
             }
         }
         if !matches!(outcome, table::Outcome::Committed(_)) {
-            self.next_read = now;
+            self.next_read = self.next_read.min(now + READ_BACK_AFTER);
         }
     }
 
@@ -126,7 +128,7 @@
         let Some(lease) = self.leases.get_mut(shard) else { return };
         lease.settle(now, written(&outcome, 0), write);
         if !matches!(outcome, table::Outcome::Committed(_)) {
-            self.next_read = now;
+            self.next_read = self.next_read.min(now + READ_BACK_AFTER);
         }
     }
 
