--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 use anyhow::{Context, Result, ensure};
 use foxtail_config::DrainTarget;
+use foxtail_config::stage::Reach;
 use foxtail_node::settings::{Callers, Credential};
 use foxtail_node::{Node, Ports, Settings, stop};
 use foxtail_platform::{HostEntry, HostState};
@@ -21,6 +22,8 @@
 use crate::shape::{HostShape, Shape, ZONE_ROUND_TRIP};
 pub use upstreams::Upstreams;
 
+/// The credential that the hosts accept from operators.
+pub const OPERATOR_TOKEN: &str = "lab-operator-token";
 /// The longest a fleet may take until every host takes traffic.
 const READY_TIMEOUT: Millis = Millis::secs(30);
 const READY_POLL: Millis = Millis(50);
@@ -104,6 +107,17 @@
         hosts.iter().filter(|host| host.node.is_some()).map(|host| host.entry.caller).collect()
     }
 
+    /// Where operators reach the hosts that were not stopped.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.lock();
+        hosts.iter().filter(|host| host.node.is_some()).map(|host| host.entry.operator).collect()
+    }
+
+    /// The version that each running host holds, and how far it has got.
+    pub fn config(&self) -> Vec<(Version, Reach)> {
+        self.hosts.lock().iter().filter_map(|host| Some(host.node.as_ref()?.config())).collect()
+    }
+
     /// Starts a drain; returns when it was accepted, by the boot clock.
     ///
     /// # Errors
@@ -183,7 +197,7 @@
             seeds: Vec::new(),
             operators: vec![Credential {
                 name: "lab".to_owned(),
-                token: "lab-operator-token".to_owned(),
+                token: OPERATOR_TOKEN.to_owned(),
             }],
             callers: Callers::default(),
             in_flight_max: 512,
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use foxtail_config::stage::Reach;
 use foxtail_member::Identity;
 use foxtail_net::Dial;
 use foxtail_net::http;
@@ -126,6 +127,11 @@
         self.state.status().version
     }
 
+    /// The configuration it holds, and how far that has got.
+    pub fn config(&self) -> (Version, Reach) {
+        self.state.spread.reach()
+    }
+
     /// The fleet as it sees it.
     pub fn view(&self) -> Arc<foxtail_member::View> {
         self.state.fleet.view.load_full()
