fix(node): the limiter is told of every configuration

Waiting for a change marked it as seen, so that the check after it never found one and the limiter stayed without pools: at 10% load every request was told "not run".

--- a/foxtail-node/src/limits.rs
+++ b/foxtail-node/src/limits.rs
@@ -61,13 +61,14 @@
     let mut ticks = tokio::time::interval(FOLLOW_EVERY.duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut known = Vec::new();
+    config.mark_changed();
     loop {
-        tokio::select! {
+        let changed = tokio::select! {
             () = stop.cancelled() => return,
-            Ok(()) = config.changed() => {}
-            _ = ticks.tick() => {}
-        }
-        if config.has_changed().unwrap_or(false) || known.is_empty() {
+            Ok(()) = config.changed() => true,
+            _ = ticks.tick() => false,
+        };
+        if changed {
             let snapshot = config.borrow_and_update().clone();
             if let Some(snapshot) = snapshot {
                 limiter.configure(&snapshot);
