--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -209,7 +209,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.hosts.lock().iter().all(|host| host.node.as_ref().is_none_or(Node::is_ready))
+        let ready = |node: &Node| node.is_ready() && node.limits_raised();
+        self.hosts.lock().iter().all(|host| host.node.as_ref().is_none_or(ready))
     }
 
     fn take(&self, id: &HostId) -> Option<Node> {
--- a/foxtail-lab/src/load/call.rs
+++ b/foxtail-lab/src/load/call.rs
@@ -93,6 +93,7 @@
         let reason = header(&head.headers, "x-foxtail-reason").to_owned();
         match header(&head.headers, "x-foxtail-outcome") {
             "answered" if self.is_mine(&head.headers, &body) => Ending::Answered,
+            "answered" if head.status.is_server_error() => Ending::Failed(head.status.as_u16()),
             "answered" => Ending::Wrong(format!("status {}, {} bytes", head.status, body.len())),
             "not-run" => Ending::NotRun(reason),
             "unknown" => Ending::Unknown(reason),
--- a/foxtail-lab/src/load/record.rs
+++ b/foxtail-lab/src/load/record.rs
@@ -12,6 +12,8 @@
 pub enum Ending {
     /// With its own whole answer.
     Answered,
+    /// With its upstream's own word that it failed.
+    Failed(u16),
     /// Proved not to have run, with the reason.
     NotRun(String),
     /// Possibly run, with the reason.
@@ -62,6 +64,7 @@
     pub fn label(&self) -> String {
         match self {
             Ending::Answered => "answered".to_owned(),
+            Ending::Failed(status) => format!("failed/{status}"),
             Ending::NotRun(reason) => format!("not-run/{reason}"),
             Ending::Unknown(reason) => format!("unknown/{reason}"),
             Ending::Refused(reason) => format!("refused/{reason}"),
@@ -86,7 +89,7 @@
             Ending::Unreachable | Ending::Broken(_) | Ending::Wrong(_) => {
                 self.broken.push(format!("{}: {ending:?}", call.name));
             }
-            Ending::Unknown(_) | Ending::Refused(_) => {}
+            Ending::Failed(_) | Ending::Unknown(_) | Ending::Refused(_) => {}
         }
     }
 
--- a/foxtail-lab/src/report.rs
+++ b/foxtail-lab/src/report.rs
@@ -13,6 +13,8 @@
 
 /// How long an upstream that is drained may still get new work.
 const DRAIN_GRACE: Millis = Millis::secs(3);
+/// The share of the requests that must be answered while the load is below the capacity.
+const ANSWERED_MIN: f64 = 0.99;
 
 /// One invariant and how often it was broken.
 #[derive(Clone, Debug)]
@@ -69,6 +71,7 @@
         let stats = fleet.upstreams().stats();
         let checks = vec![
             own_answers(&record),
+            enough_answered(&record),
             keys_once(fleet, &record),
             not_run_did_not(&record, &runs),
             slots(&stats),
@@ -138,6 +141,13 @@
     Check { name, breaches: record.broken.len() as u64, detail }
 }
 
+fn enough_answered(record: &Record) -> Check {
+    let share = record.count("answered") as f64 / record.total().max(1) as f64;
+    let breaches = u64::from(share < ANSWERED_MIN);
+    let detail = format!("{:.2}% answered", share * 100.0);
+    Check { name: "at least 99% are answered below the capacity", breaches, detail }
+}
+
 fn keys_once(fleet: &Fleet, record: &Record) -> Check {
     let repeated = fleet.audit().repeated_keys();
     let detail = match repeated.first() {
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -126,6 +126,11 @@
         self.state.status().version
     }
 
+    /// Whether the limits that its configuration raises are in use.
+    pub fn limits_raised(&self) -> bool {
+        self.state.spread.reach().1 > foxtail_config::stage::Reach::Seen
+    }
+
     /// The fleet as it sees it.
     pub fn view(&self) -> Arc<foxtail_member::View> {
         self.state.fleet.view.load_full()
