--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result, ensure};
 use foxtail_config::DrainTarget;
 use foxtail_config::stage::Reach;
+use foxtail_config::stage::Reach;
 use foxtail_node::settings::{Callers, Credential};
 use foxtail_node::{Node, Ports, Settings, stop};
 use foxtail_platform::{HostEntry, HostState};
@@ -223,7 +224,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.hosts.lock().iter().all(|host| host.node.as_ref().is_none_or(Node::is_ready))
+        let ready = |node: &Node| node.is_ready() && node.config().1 > Reach::Seen;
+        self.hosts.lock().iter().all(|host| host.node.as_ref().is_none_or(ready))
     }
 
     fn take(&self, id: &HostId) -> Option<Node> {
