--- a/foxtail-node/src/serve/routing.rs
+++ b/foxtail-node/src/serve/routing.rs
@@ -56,7 +56,11 @@
                 }
                 None => state.limiter.release(ticket, unused()),
             },
-            Err(refusal) => refused = turned_away(&refusal),
+            Err(refusal) => {
+                let (request, pool) = (call.meta.id, &pool);
+                tracing::info!(event = "slot_refused", %request, %pool, ?refusal);
+                refused = turned_away(&refusal);
+            }
         }
     }
     record(state, call, &plan, &query, "none", refused.reason().as_str());
