--- a/foxtail-limit/src/link.rs
+++ b/foxtail-limit/src/link.rs
@@ -9,6 +9,8 @@
 
 use foxtail_types::prelude::*;
 
+use crate::drift::DRIFT_DIV;
+
 /// How far ahead a reservation may be booked.
 pub const AHEAD_MAX: Millis = Millis(1_000);
 /// The share of a second's capacity that may be sent in one burst.
@@ -128,7 +130,8 @@
 
 /// Rate in bytes a millisecond and burst in bytes, of the main lane and the trickle.
 fn shape(mbit_per_s: u32, archive_mbit_per_s: u32) -> ((f64, f64), (f64, f64)) {
-    let capacity = f64::from(mbit_per_s) * MBIT_BYTES;
+    let drift = 1.0 - 1.0 / DRIFT_DIV as f64;
+    let capacity = f64::from(mbit_per_s) * MBIT_BYTES * drift;
     let burst = capacity * BURST_SHARE;
     let rate = capacity - burst;
     let trickle_rate = (f64::from(archive_mbit_per_s) * MBIT_BYTES).min(rate);
--- a/foxtail-limit/src/owner/mod.rs
+++ b/foxtail-limit/src/owner/mod.rs
@@ -191,6 +191,7 @@
 
     /// Former owners have stopped for good: their reserves end with the life of a ticket.
     pub fn former_gone(&mut self, now: Millis) {
+        self.unwithhold(now);
         if let Start::Unknown { since, reserve: true } = self.start {
             let since = if since == Millis::MAX { now } else { since.max(now) };
             self.start = Start::Unknown { since, reserve: false };
--- a/foxtail-limit/src/shift.rs
+++ b/foxtail-limit/src/shift.rs
@@ -4,6 +4,8 @@
 
 use foxtail_types::prelude::*;
 
+use crate::drift::covering;
+
 /// How long after its reservation a shifted request may leave the host.
 pub const USE_WITHIN: Millis = Millis(250);
 /// The cap counts requests a second.
@@ -25,7 +27,7 @@
 impl ShiftBudget {
     /// A budget of `cap` requests a second. It starts spent, as a former owner may have given all.
     pub fn new(now: Millis, cap: u32) -> Self {
-        let closed_until = now + SECOND + USE_WITHIN;
+        let closed_until = now + covering(SECOND + USE_WITHIN);
         Self { cap: cap as usize, given: VecDeque::new(), closed_until }
     }
 
@@ -45,7 +47,7 @@
             return Err(self.closed_until - now);
         }
         let step_cap = self.cap.div_ceil((SECOND.0 / STEP.0) as usize);
-        let window = SECOND + USE_WITHIN;
+        let window = covering(SECOND + USE_WITHIN);
         wait(&self.given, now, window, self.cap).map_or(Ok(()), Err)?;
         wait(&self.given, now, STEP, step_cap).map_or(Ok(()), Err)?;
         self.given.push_back(now);
@@ -58,7 +60,7 @@
     }
 
     fn forget(&mut self, now: Millis) {
-        let window = SECOND + USE_WITHIN;
+        let window = covering(SECOND + USE_WITHIN);
         while self.given.front().is_some_and(|at| now.since(*at) > window) {
             self.given.pop_front();
         }
--- a/foxtail-limit/src/station/term.rs
+++ b/foxtail-limit/src/station/term.rs
@@ -132,7 +132,7 @@
         let claim = self.claimed.remove(shard).filter(|(claimed, _)| *claimed == epoch);
         let claim = claim.map(|(_, claim)| claim);
         let book = self.books.remove(shard).filter(|book| book.epoch == epoch);
-        let Legacy { formers, lives } = lease.legacy();
+        let Legacy { mut formers, lives } = lease.legacy();
         let start = start(now, claim, book.as_ref().map(|book| book.complete), &formers);
         tracing::info!(event = "owner-starts", %shard, %epoch, ?claim, ?start);
         let mut owner = Owner::new(shard.clone(), epoch, start, self.pick.clone());
@@ -142,6 +142,11 @@
             let age = now - book.at;
             owner.adopt(now, &aged(book.held, age));
         }
+        let mine = formers.contains(&self.me.host);
+        formers.retain(|former| *former != self.me.host);
+        if mine && formers.is_empty() {
+            owner.former_gone(now);
+        }
         let own = cx.holder.fence(now, shard, epoch, &self.me.host).unwrap_or_default();
         owner.adopt(now, &own);
         cx.hosted.install(owner);
@@ -205,10 +210,11 @@
     fn fence(&mut self, now: Millis, shard: &ShardId, actions: &mut Vec<(OpId, Action)>) {
         let listed: BTreeSet<HostId> = self.others().cloned().collect();
         let Some(term) = self.terms.get_mut(shard) else { return };
-        if now < term.next_fence || term.unanswered.is_empty() {
+        if now < term.next_fence {
             return;
         }
         term.next_fence = now + FENCE_AGAIN;
+        term.unanswered.extend(term.formers.iter().cloned());
         term.unanswered.retain(|host| listed.contains(host));
         let epoch = term.epoch;
         for to in term.unanswered.clone() {
