--- a/foxtail-node/src/lib.rs
+++ b/foxtail-node/src/lib.rs
@@ -6,11 +6,13 @@
 mod caller;
 pub mod decisions;
 mod fleet;
+mod in_use;
 mod keys;
 mod limits;
 mod members;
 mod metrics;
 pub mod node;
+mod operator;
 mod peer;
 mod ready;
 mod serve;
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use foxtail_config::stage::Reach;
 use foxtail_member::Identity;
 use foxtail_net::Dial;
 use foxtail_net::http;
@@ -26,12 +27,13 @@
 use crate::caller::serve_callers;
 use crate::decisions::{Decision, Decisions};
 use crate::fleet::{Fleet, WatchPeers};
+use crate::in_use::InUse;
 use crate::keys::Keys;
 use crate::metrics::Metrics;
 use crate::peer::PeerHandler;
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{limits, members, ready, stop};
+use crate::{limits, members, operator, ready, stop};
 
 /// The ports to the outside.
 #[derive(Clone)]
@@ -125,6 +127,11 @@
         self.state.status().version
     }
 
+    /// The configuration it holds, and how far that has got.
+    pub fn config(&self) -> (Version, Reach) {
+        self.state.spread.reach()
+    }
+
     /// The fleet as it sees it.
     pub fn view(&self) -> Arc<foxtail_member::View> {
         self.state.fleet.view.load_full()
@@ -205,7 +212,9 @@
         self.control.spawn(ready::make_ready(Arc::clone(state), stop.clone()));
         let serving = serve_callers(Arc::clone(state), callers, self.stop_callers.clone());
         self.callers.spawn(serving);
-        drop(operators);
+        let table = Arc::clone(&platform.table);
+        let serving = operator::serve(Arc::clone(state), table, operators, stop.clone());
+        self.control.spawn(serving);
     }
 }
 
@@ -270,6 +279,7 @@
         work: TaskTracker::new(),
         body_bytes,
         in_flight: AtomicU32::new(0),
+        in_use: InUse::default(),
         leaving: AtomicBool::new(false),
         warm: AtomicBool::new(false),
         settings,
