fix(limit): expired tickets in a report say nothing about their slots

A holder reported a ticket that had expired but was still in its list. The former owner had given the slot out again by then, and the new owner took the report for a slot of its own. Holders now report only tickets that they may still use, and a report that comes after the ticket's end counts it no second time.

--- a/foxtail-limit/src/holder.rs
+++ b/foxtail-limit/src/holder.rs
@@ -66,7 +66,7 @@
 
     /// Listens to no owner of the shard below `epoch` any more, and tells the tickets in use.
     ///
-    /// `None` if a newer owner has asked before.
+    /// Expired ones are left out: their owner may have given their slots out again. `None` if a newer owner has asked before.
     pub fn fence(
         &self,
         now: Millis,
@@ -83,6 +83,7 @@
         state.owner = Some(owner.clone());
         state.moved.notify_waiters();
         let older = state.held.values().filter(|entry| entry.ticket.epoch < epoch);
+        let older = older.filter(|entry| now < entry.ticket.expires);
         Some(older.map(|entry| held(now, &entry.ticket)).collect())
     }
 
--- a/foxtail-limit/src/owner/pool.rs
+++ b/foxtail-limit/src/owner/pool.rs
@@ -1,6 +1,6 @@
 //! One pool: its upstreams' slots, the tickets that are out, and the queue for more.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use foxtail_config::{Service, Upstream};
 use foxtail_types::prelude::*;
@@ -25,6 +25,8 @@
     id: PoolId,
     upstreams: Vec<Health>,
     out: HashMap<(Epoch, u64), Out>,
+    /// Adopted tickets that have ended: a late report must not count them twice.
+    ended: HashSet<(Epoch, u64)>,
     queue: Queue,
     queue_max: usize,
     life_wanted: Millis,
@@ -65,6 +67,7 @@
             id,
             upstreams: Vec::new(),
             out: HashMap::new(),
+            ended: HashSet::new(),
             queue: Queue::default(),
             queue_max: 0,
             life_wanted: TICKET_LIFE,
@@ -127,6 +130,7 @@
 
     /// The unknown tickets have expired; `gone` if the former owner can't give out its reserve.
     pub fn unwithhold(&mut self, gone: bool) {
+        self.ended.clear();
         for health in &mut self.upstreams {
             let rest = if gone { 0 } else { health.reserve() };
             health.withheld = health.withheld.min(rest);
@@ -144,7 +148,8 @@
         else {
             return false;
         };
-        if self.out.contains_key(&held.key()) {
+        let again = self.out.contains_key(&held.key()) || self.ended.contains(&held.key());
+        if again || held.remaining == Millis::ZERO {
             return true;
         }
         health.adopt();
@@ -192,7 +197,7 @@
 
     /// Ends a ticket.
     pub fn release(&mut self, terms: &mut Terms<'_>, key: (Epoch, u64), seen: &Seen) {
-        let Some(out) = self.out.remove(&key) else { return };
+        let Some(out) = self.end(key) else { return };
         let held = terms.now - out.granted;
         if out.ask.is_some() {
             self.holds.add(held, seen.verdict == Verdict::Answered);
@@ -209,7 +214,7 @@
             return;
         }
         let key = self.out.iter().find(|(_, out)| out.ask.as_ref() == Some(ask)).map(|(k, _)| *k);
-        if let Some(out) = key.and_then(|key| self.out.remove(&key)) {
+        if let Some(out) = key.and_then(|key| self.end(key)) {
             self.free(&out);
             self.pump(terms);
         }
@@ -220,7 +225,7 @@
         let now = terms.now;
         let late = self.out.iter().filter(|(_, out)| out.expires < now).map(|(key, _)| *key);
         for key in late.collect::<Vec<_>>() {
-            if let Some(out) = self.out.remove(&key) {
+            if let Some(out) = self.end(key) {
                 self.free(&out);
             }
         }
@@ -244,6 +249,14 @@
         }
     }
 
+    fn end(&mut self, key: (Epoch, u64)) -> Option<Out> {
+        let out = self.out.remove(&key)?;
+        if out.ask.is_none() {
+            self.ended.insert(key);
+        }
+        Some(out)
+    }
+
     fn free(&mut self, out: &Out) -> Option<&mut Health> {
         let health = self.upstreams.iter_mut().find(|health| health.id == out.upstream)?;
         assert!(health.used > 0, "a ticket was freed twice");
