fix(node): hand over limits after the last request, not before

Cause: a stopping host ended its part in the limits first, and with it the messages that give slots back; it went on serving for 7 s, and every slot it used stayed taken until its ticket expired.

--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -148,13 +148,13 @@
         tracing::info!(event = "host_leaving", host = %self.state.settings.host);
         self.state.leaving.store(true, Ordering::SeqCst);
         members::announce(&self.state).await;
-        self.stop_owning.cancel();
         tokio::time::sleep(options.settle.duration()).await;
         self.stop_callers.cancel();
         let cut_off = self.finish(options.finish).await;
         self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
+        self.stop_owning.cancel();
         while self.owning.join_next().await.is_some() {}
         self.stop_control.cancel();
         while self.control.join_next().await.is_some() {}
