--- a/foxtail-lab/examples/config_spread.rs
+++ b/foxtail-lab/examples/config_spread.rs
@@ -14,6 +14,7 @@
 use foxtail_lab::fleet::{Fleet, OPERATOR_TOKEN};
 use foxtail_lab::shape::tali_selamat;
 use foxtail_standin::platform::Down;
+use foxtail_sync::admin::Input;
 use foxtail_types::prelude::*;
 use foxtail_wire::operator::OperatorClient;
 use jsonrpsee::http_client::{HeaderMap, HttpClient, HttpClientBuilder};
@@ -51,7 +52,7 @@
 async fn round(fleet: &Fleet, i: usize, outage: bool) -> Result<Round> {
     let operators = fleet.operators();
     let client = client(&format!("http://{}", operators[i % operators.len()]))?;
-    let mut input = client.workspace_show(fleet.shape().workspace_id().clone()).await?;
+    let mut input = show(fleet, &client).await?;
     let now = input.params.shift_per_s.context("the shape sets a shift cap")?;
     input.params.shift_per_s = Some(if now % 2 == 0 { now + 1 } else { now - 1 });
     let accepted = client.workspace_apply(input, String::new()).await?;
@@ -65,6 +66,18 @@
     Ok(round)
 }
 
+/// The input in force; a host leaves the store alone for a while after an outage.
+async fn show(fleet: &Fleet, client: &HttpClient) -> Result<Input> {
+    let deadline = Instant::now() + REST * 60;
+    loop {
+        match client.workspace_show(fleet.shape().workspace_id().clone()).await {
+            Ok(input) => return Ok(input),
+            Err(e) if Instant::now() > deadline => return Err(e.into()),
+            Err(_) => tokio::time::sleep(REST / 4).await,
+        }
+    }
+}
+
 async fn follow(fleet: &Fleet, version: Version, started: Instant) -> Round {
     let mut held: Vec<Option<Duration>> = vec![None; fleet.config().len()];
     loop {
--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -8,7 +8,6 @@
 use anyhow::{Context, Result, ensure};
 use foxtail_config::DrainTarget;
 use foxtail_config::stage::Reach;
-use foxtail_config::stage::Reach;
 use foxtail_node::settings::{Callers, Credential};
 use foxtail_node::{Node, Ports, Settings, stop};
 use foxtail_platform::{HostEntry, HostState};
