--- a/foxtail-limit/src/lease.rs
+++ b/foxtail-limit/src/lease.rs
@@ -15,6 +15,8 @@
 pub const LEASE: Millis = Millis(3_000);
 /// How often a lease is renewed.
 pub const RENEW_EVERY: Millis = Millis(1_000);
+/// The pause after a write that did not renew or claim a lease.
+pub const RETRY_AFTER: Millis = Millis(200);
 /// Each host further back in the ranking leaves a free shard alone for this much longer.
 pub const STAGGER: Millis = Millis(500);
 /// How many hosts, from the front of the ranking, take over shards.
@@ -52,7 +54,7 @@
     token: u64,
     seen: Option<Sighting>,
     pending: Option<Pending>,
-    last_sent: Millis,
+    last_sent: Option<Millis>,
     until: Millis,
     ready_since: Option<(Epoch, Millis)>,
     withheld: Withheld,
@@ -115,7 +117,7 @@
             token,
             seen: None,
             pending: None,
-            last_sent: Millis::ZERO,
+            last_sent: None,
             until: Millis::ZERO,
             ready_since: None,
             withheld: Withheld::default(),
@@ -161,8 +163,8 @@
 
     /// Whether the own lease is to be renewed.
     pub fn due(&self, now: Millis) -> bool {
-        let due = now >= self.last_sent + RENEW_EVERY || now >= self.until;
-        due && self.own_epoch().is_some()
+        let pause = if now < self.until { RENEW_EVERY } else { RETRY_AFTER };
+        self.own_epoch().is_some() && self.rested(now, pause)
     }
 
     /// The write that renews the own lease.
@@ -174,7 +176,7 @@
     /// Whether this host, at `rank` among the region's live hosts, may claim the shard now.
     pub fn claimable(&self, now: Millis, rank: usize) -> Option<Claim> {
         let seen = self.seen.as_ref()?;
-        if rank >= CANDIDATES || self.own_epoch().is_some() {
+        if rank >= CANDIDATES || self.own_epoch().is_some() || !self.rested(now, RETRY_AFTER) {
             return None;
         }
         let turn = seen.since + STAGGER * rank as u64;
@@ -222,20 +224,21 @@
         let expect = expectation(seen);
         let earlier = self.pending.filter(|pending| pending.expect == expect);
         self.pending = Some(earlier.unwrap_or(Pending { expect, sent: now }));
-        self.last_sent = now;
+        self.last_sent = Some(now);
     }
 
     /// The `write` sent last ended.
     pub fn settle(&mut self, now: Millis, written: Written, write: &Write) {
         match written {
             Written::Committed(version) => {
-                self.pending = Some(Pending { expect: write.expect, sent: self.last_sent });
+                let sent = self.last_sent.unwrap_or_default();
+                self.pending = Some(Pending { expect: write.expect, sent });
                 self.observe(now, Some(&Row { version, value: value(write).to_vec() }));
             }
             Written::Conflict(found) => self.observe(now, found.as_ref()),
             Written::Failed => {
                 let last = self.last_sent;
-                self.pending = self.pending.filter(|pending| pending.sent != last);
+                self.pending = self.pending.filter(|pending| Some(pending.sent) != last);
             }
             Written::Unknown => {}
         }
@@ -309,6 +312,10 @@
         self.ready_since.filter(|(ready, _)| *ready == epoch).map(|(_, since)| since)
     }
 
+    fn rested(&self, now: Millis, pause: Millis) -> bool {
+        self.last_sent.is_none_or(|sent| now >= sent + pause)
+    }
+
     fn record(&self) -> Option<&Record> {
         self.seen.as_ref()?.record.as_ref()
     }
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use foxtail_config::stage::Reach;
 use foxtail_member::Identity;
 use foxtail_net::Dial;
 use foxtail_net::http;
@@ -126,9 +127,9 @@
         self.state.status().version
     }
 
-    /// Whether the limits that its configuration raises are in use.
-    pub fn limits_raised(&self) -> bool {
-        self.state.spread.reach().1 > foxtail_config::stage::Reach::Seen
+    /// The configuration it holds, and how far that has got.
+    pub fn config(&self) -> (Version, Reach) {
+        self.state.spread.reach()
     }
 
     /// The fleet as it sees it.
@@ -147,10 +148,10 @@
         tracing::info!(event = "host_leaving", host = %self.state.settings.host);
         self.state.leaving.store(true, Ordering::SeqCst);
         members::announce(&self.state).await;
-        self.stop_owning.cancel();
         tokio::time::sleep(options.settle.duration()).await;
         self.stop_callers.cancel();
         let cut_off = self.finish(options.finish).await;
+        self.stop_owning.cancel();
         self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
