--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -151,6 +151,7 @@
         tokio::time::sleep(options.settle.duration()).await;
         self.stop_callers.cancel();
         let cut_off = self.finish(options.finish).await;
+        self.stop_owning.cancel();
         self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
