--- a/foxtail-standin/src/upstream/state.rs
+++ b/foxtail-standin/src/upstream/state.rs
@@ -92,7 +92,7 @@
             inside: 0,
             busy: 0,
             rng: SmallRng::seed_from_u64(options.seed),
-            since_start: 0,
+            since_start: options.cold.requests,
             crash: CancellationToken::new(),
             report: Report::default(),
             sample: Sample::default(),
