--- a/foxtail-lab/examples/once_latency.rs
+++ b/foxtail-lab/examples/once_latency.rs
@@ -1,6 +1,6 @@
 //! What a claim costs: added latency, store operations a request, the way back after an outage.
 //!
-//! `cargo run --release -p foxtail-lab --example once_latency -- [latency|mixed|outage|capacity]`
+//! `cargo run --release -p foxtail-lab --example once_latency -- [latency|near|outage|capacity]`
 //!
 //! 18 hosts in one process, each with its own HTTP client, claim over loopback at the stand-in
 //! platform, which takes 400 transactions a second. The store's round trip is a delay in each
@@ -34,6 +34,7 @@
 const HOP: Duration = Duration::from_millis(1);
 const SERVICE: Duration = Duration::from_millis(5);
 const IDLE: Duration = Duration::from_secs(1);
+const TIMER_STEP: Duration = Duration::from_millis(1);
 const WARM: Duration = Duration::from_secs(1);
 const MEASURED: Duration = Duration::from_secs(4);
 const STORE_PER_S: u32 = 400;
@@ -48,9 +49,10 @@
     Host,
     /// One host gathers the writes of all, at this pace a second.
     Relay(u32),
-    /// As the hosts do it: a relay for each of three regions, and hosts with few claims commit
-    /// them themselves.
-    Mixed,
+    /// A relay for each of three regions, and hosts with few claims commit them themselves.
+    Regions,
+    /// The same with one relay near the store.
+    Near,
 }
 
 /// Delays finer than the runtime's timer, kept by a thread that ends with the last handle.
@@ -92,7 +94,8 @@
     }
 }
 
-const WAYS: [Way; 5] = [Way::Single, Way::Host, Way::Relay(110), Way::Relay(250), Way::Mixed];
+const WAYS: [Way; 6] =
+    [Way::Single, Way::Host, Way::Relay(110), Way::Relay(250), Way::Regions, Way::Near];
 
 /// A table at a distance.
 struct Far {
@@ -179,9 +182,9 @@
             };
             let table: Arc<dyn Table> = Guard::new(Arc::new(far), Arc::clone(&clock), share);
             let group =
-                Group::start(Arc::clone(&table), Arc::clone(&clock), options(way, i < REGIONS));
+                Group::start(Arc::clone(&table), Arc::clone(&clock), options(way, i < relays(way)));
             let objects: Arc<dyn Objects> = Arc::new(HttpObjects::new(call));
-            let relay = if way == Way::Mixed { i % REGIONS } else { 0 };
+            let relay = i % relays(way);
             let target = hosts.get(relay).map(|(_, group)| group);
             let commit = committer(way, &group, target, delays.clone());
             let ports = claims::Ports { clock, table: Arc::clone(&table), objects, commit };
@@ -223,16 +226,21 @@
     }
 }
 
+/// How many hosts gather writes.
+fn relays(way: Way) -> usize {
+    if way == Way::Regions { REGIONS } else { 1 }
+}
+
 /// A host's part of the budget.
-fn part(is_relay: bool) -> Part {
-    Budget::default().part(HOSTS, REGIONS, is_relay)
+fn part(way: Way, is_relay: bool) -> Part {
+    Budget::default().part(HOSTS, relays(way), is_relay)
 }
 
 fn options(way: Way, is_relay: bool) -> commit::Options {
     let pace = match way {
         Way::Single | Way::Host => Pace { per_s: 10_000, burst: 1_000 },
         Way::Relay(per_s) => Pace { per_s, burst: 4 },
-        Way::Mixed => part(is_relay).pace(),
+        Way::Regions | Way::Near => part(way, is_relay).pace(),
     };
     let rows_max = if way == Way::Single { 1 } else { 512 };
     let in_flight_max = if way == Way::Single { 1_000 } else { 64 };
@@ -246,11 +254,12 @@
     delays: Delays,
 ) -> Arc<dyn Commit> {
     match (way, target) {
-        (Way::Relay(_) | Way::Mixed, Some(target)) => {
+        (Way::Relay(_) | Way::Regions | Way::Near, Some(target)) => {
             let hop = Arc::new(Hop { group: Arc::clone(target), delays });
             let relay = Relay::new(hop, own.clone(), Arc::new(BootClock));
             relay.set_target(HostId::new("host-0").ok());
-            relay.set_direct(if way == Way::Mixed { part(false).direct_per_s } else { 0 });
+            let direct = matches!(way, Way::Regions | Way::Near);
+            relay.set_direct(if direct { part(way, false).direct_per_s } else { 0 });
             relay
         }
         _ => own.clone(),
@@ -280,7 +289,10 @@
     let start = Instant::now();
     let mut next = Duration::ZERO;
     while next < span {
-        tokio::time::sleep(next.saturating_sub(start.elapsed())).await;
+        let ahead = next.saturating_sub(start.elapsed());
+        if ahead >= TIMER_STEP {
+            tokio::time::sleep(ahead).await;
+        }
         let host = rand::rng().random_range(0..HOSTS);
         tasks.spawn(request(Arc::clone(&fleet.hosts[host].0), Millis(3_000)));
         let gap = -rand::rng().random_range(f64::EPSILON..1.0).ln() / f64::from(per_s);
@@ -347,7 +359,7 @@
         "outage  down for  not run  told within p99  normal after  store writes in first second"
     );
     for down in [Down::Refuse, Down::Hang] {
-        let fleet = Fleet::start(Way::Mixed, Duration::from_millis(10), STORE_PER_S).await?;
+        let fleet = Fleet::start(Way::Near, Duration::from_millis(10), STORE_PER_S).await?;
         load(&fleet, 200, WARM).await;
         let platform = Arc::clone(fleet.server.platform());
         let switch = tokio::spawn(async move {
@@ -386,7 +398,7 @@
         "offered/s  ran/s  claim p50 ms  claim p99 ms  txn/s  rows/txn  cpu us/claim (hosts, store and load together)"
     );
     for per_s in [400, 1_600, 6_400] {
-        let fleet = Fleet::start(Way::Mixed, Duration::from_millis(10), STORE_PER_S).await?;
+        let fleet = Fleet::start(Way::Near, Duration::from_millis(10), STORE_PER_S).await?;
         load(&fleet, per_s, WARM).await;
         let (before, cpu, start) = (fleet.counts(), cpu_ms(), Instant::now());
         let results = load(&fleet, per_s, MEASURED).await;
@@ -421,7 +433,7 @@
     let what = std::env::args().nth(1);
     match what.as_deref() {
         Some("latency") => latency(&WAYS).await,
-        Some("mixed") => latency(&[Way::Mixed]).await,
+        Some("near") => latency(&[Way::Near]).await,
         Some("outage") => outage().await,
         Some("capacity") => capacity().await,
         _ => {
--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -194,6 +194,7 @@
             peer: any,
             operator: any,
             platform: vec![self.platform.addr()],
+            store_region: None,
             seeds: Vec::new(),
             operators: vec![Credential {
                 name: "lab".to_owned(),
--- a/foxtail-node/src/keys.rs
+++ b/foxtail-node/src/keys.rs
@@ -37,6 +37,7 @@
     relay: Arc<Relay>,
     collector: Collector,
     guard: Arc<Guard>,
+    store_region: Option<RegionId>,
 }
 
 /// Sends writes to the host that gathers them.
@@ -48,6 +49,7 @@
         guard: &Arc<Guard>,
         objects: &Arc<dyn Objects>,
         clock: &Arc<dyn Clock>,
+        store_region: Option<RegionId>,
     ) -> Self {
         let table = &(Arc::clone(guard) as Arc<dyn Table>);
         let group = Group::start(Arc::clone(table), Arc::clone(clock), commit::Options::default());
@@ -62,7 +64,7 @@
         let claims = Claims::start(fleet.me().clone(), ports, claims::Options::default());
         let options = collect::Options::default();
         let collector = Collector::new(Arc::clone(table), Arc::clone(clock), options);
-        Self { claims, group, relay, collector, guard: Arc::clone(guard) }
+        Self { claims, group, relay, collector, guard: Arc::clone(guard), store_region }
     }
 
     /// Commits a peer's write.
@@ -86,19 +88,28 @@
         let mut ticks = tokio::time::interval(FOLLOW_EVERY.duration());
         while stop.run_until_cancelled(ticks.tick()).await.is_some() {
             let view = fleet.view.load();
-            let near = view.live_in(fleet.region()).filter(|member| member.is_serving());
-            let chosen = relay::choose(near.map(|member| &member.identity.id));
+            let chosen = self.gatherer(&view, fleet.region());
             let gathers = chosen == Some(fleet.me());
             self.share(&view, gathers);
             self.relay.set_target(chosen.filter(|_| !gathers).cloned());
         }
     }
 
+    /// The host that gathers writes: one near the store, or else one of this region.
+    fn gatherer<'a>(&'a self, view: &'a View, own: &'a RegionId) -> Option<&'a HostId> {
+        let serving = |region| {
+            let members = view.live_in(region).filter(|member| member.is_serving());
+            relay::choose(members.map(|member| &member.identity.id))
+        };
+        self.store_region.as_ref().and_then(serving).or_else(|| serving(own))
+    }
+
     /// Takes this host's share of the store: the hosts that gather writes have most of it.
     fn share(&self, view: &View, gathers: bool) {
         let hosts = view.live().count().max(1);
         let regions: BTreeSet<_> = view.live().map(|member| &member.identity.region).collect();
-        let part = relay::Budget::default().part(hosts, regions.len(), gathers);
+        let relays = if self.store_region.is_some() { 1 } else { regions.len() };
+        let part = relay::Budget::default().part(hosts, relays, gathers);
         self.relay.set_direct(part.direct_per_s);
         self.group.set_pace(part.pace());
         self.guard.set_share(share(hosts as u32, part.pace_per_s));
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -251,7 +251,13 @@
         clock: Arc::clone(&ports.clock),
     });
     let owners = limits::limiter(&settings, &fleet, &ports.clock);
-    let keys = Keys::start(&fleet, &platform.guard, &platform.objects, &ports.clock);
+    let keys = Keys::start(
+        &fleet,
+        &platform.guard,
+        &platform.objects,
+        &ports.clock,
+        settings.store_region.clone(),
+    );
     let watch = Watch::new(
         settings.host.clone(),
         Arc::clone(&ports.clock),
--- a/foxtail-node/src/settings.rs
+++ b/foxtail-node/src/settings.rs
@@ -36,6 +36,11 @@
     /// The platform's addresses, in the order to try them.
     #[garde(length(min = 1, max = 16))]
     pub platform: Vec<SocketAddr>,
+    /// The region of the platform's store. One of its hosts gathers the writes of all hosts, on
+    /// their way to the store; without it, one host in each region does.
+    #[garde(skip)]
+    #[serde(default)]
+    pub store_region: Option<RegionId>,
     /// Peer addresses of other hosts, for a start while the platform is out.
     #[garde(length(max = 64))]
     #[serde(default)]
--- a/foxtail-node/tests/config.rs
+++ b/foxtail-node/tests/config.rs
@@ -60,6 +60,7 @@
             peer: any,
             operator: any,
             platform: vec![self.platform.addr()],
+            store_region: None,
             seeds,
             operators: vec![credential],
             callers: Callers::default(),
--- a/foxtail-once/src/relay.rs
+++ b/foxtail-once/src/relay.rs
@@ -18,6 +18,9 @@
 /// How long a peer may take before the write is committed by this host itself.
 const PEER_TIMEOUT: Millis = Millis(2_000);
 
+/// How long a relay that did not answer is passed by.
+const AVOID: Millis = Millis(3_000);
+
 /// How many transactions a host may start at once after a quiet time.
 const BURST: u32 = 4;
 
@@ -72,6 +75,8 @@
     clock: Arc<dyn Clock>,
     target: RwLock<Option<HostId>>,
     claims: Mutex<Meter>,
+    /// Until when the relay is passed by, as it did not answer.
+    avoided: Mutex<Millis>,
 }
 
 /// Counts events over the last second or so.
@@ -86,7 +91,14 @@
     /// Commits through `own` until a target is set.
     pub fn new(peers: Arc<dyn Peers>, own: Arc<dyn Commit>, clock: Arc<dyn Clock>) -> Arc<Self> {
         let claims = Mutex::new(Meter { limit_per_s: 0, second: 0, before: 0, current: 0 });
-        Arc::new(Self { peers, own, clock, target: RwLock::new(None), claims })
+        Arc::new(Self {
+            peers,
+            own,
+            clock,
+            target: RwLock::new(None),
+            claims,
+            avoided: Mutex::default(),
+        })
     }
 
     /// Up to how many claims a second this host commits its claims itself. A share of the fleet's
@@ -143,7 +155,8 @@
 impl Commit for Relay {
     async fn commit(&self, entry: Entry) -> Done {
         let claim = entry.urgency == Urgency::Now;
-        let direct = claim && self.claims.lock().count(self.clock.now());
+        let now = self.clock.now();
+        let direct = claim && self.claims.lock().count(now) || now < *self.avoided.lock();
         let target = self.target.read().clone().filter(|_| !direct);
         let Some(target) = target else { return self.own.commit(entry).await };
         entry.sent.set(true);
@@ -154,7 +167,10 @@
                 entry.sent.set(matches!(done, Done::Committed(_)));
                 done
             }
-            None => self.own.commit(entry).await,
+            None => {
+                *self.avoided.lock() = self.clock.now() + AVOID;
+                self.own.commit(entry).await
+            }
         }
     }
 }
