--- a/foxtail-node/src/serve/once.rs
+++ b/foxtail-node/src/serve/once.rs
@@ -20,7 +20,7 @@
 
 use super::call::Call;
 use super::collect::{Collected, collect};
-use super::reply::Refused;
+use super::reply::{self, Refused};
 use super::tries::Tries;
 use super::{Held, RETRY_AFTER, Run};
 use crate::state::State;
@@ -215,8 +215,7 @@
 
 fn replay(answer: Answer) -> Result<Response<Body>, Refused> {
     let Some(body) = answer.body else {
-        let message = format!("it ran; its answer of {} bytes was not kept", answer.size);
-        return Err(Refused::wrong(Reason::AnswerNotKept, message));
+        return Ok(reply::not_kept(answer.status, answer.size, &answer.digest));
     };
     let mut replayed = Response::new(body_of(body));
     *replayed.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
--- a/foxtail-node/src/serve/reply.rs
+++ b/foxtail-node/src/serve/reply.rs
@@ -66,6 +66,23 @@
     answer
 }
 
+/// The answer to a caller whose request ran before, with an answer too large to be kept: what is
+/// known of that answer.
+pub(crate) fn not_kept(status: u16, bytes: u64, digest: &[u8]) -> Response<Body> {
+    let reason = Reason::AnswerNotKept.as_str();
+    let text = json!({
+        "outcome": "answered",
+        "reason": reason,
+        "message": "it ran; its answer was too large to be kept",
+        "status": status,
+        "bytes": bytes,
+        "sha256": digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>(),
+    });
+    let mut answer = json_answer(StatusCode::CONFLICT, &text);
+    answer.headers_mut().insert(REASON, HeaderValue::from_static(reason));
+    answer
+}
+
 /// The answer to a caller whose request got none from an upstream.
 pub(crate) fn refused(refused: &Refused, id: RequestId) -> Response<Body> {
     let reason = refused.reason();
@@ -112,7 +129,6 @@
         (_, Reason::KeyRequired) => StatusCode::PRECONDITION_REQUIRED,
         (_, Reason::KeyExpired) => StatusCode::GONE,
         (_, Reason::KeyReused | Reason::Convicted) => StatusCode::UNPROCESSABLE_ENTITY,
-        (_, Reason::AnswerNotKept) => StatusCode::CONFLICT,
         _ => StatusCode::BAD_REQUEST,
     }
 }
--- a/foxtail-once/src/relay.rs
+++ b/foxtail-once/src/relay.rs
@@ -115,7 +115,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { direct_per_s: 240, gathered_per_s: 110 }
+        Self { direct_per_s: 240, gathered_per_s: 90 }
     }
 }
 
