perf(member): fewer and smaller pulls, and steps whose cost follows the changes

Cause: gateways pulled from every region every 2 s, each pull carried the whole identity, and each step looked through all records. Change: gateways share the regions, large zones pull every second, identities go once, records are found by zone and by revision; one relay answers for each host.

--- a/foxtail-member/src/lib.rs
+++ b/foxtail-member/src/lib.rs
@@ -10,10 +10,12 @@
 //! [`Members::pull_failed`] for every answer, [`Members::answer`] for every pull received,
 //! [`Members::list`] for every host list, and [`Members::view`] wherever hosts are chosen.
 
+mod book;
 pub mod members;
 pub mod msg;
 mod record;
 pub mod relay;
+mod targets;
 pub mod view;
 
 pub use members::Members;
--- a/foxtail-member/src/msg.rs
+++ b/foxtail-member/src/msg.rs
@@ -79,12 +79,31 @@
     pub revision: u64,
 }
 
+/// The sender of a pull, with its own word on itself.
+#[value]
+pub enum From {
+    /// In full, at first contact.
+    Whole(Entry),
+    /// Only what changes; the identity is known from before.
+    Again {
+        /// The host.
+        id: HostId,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The number of its word.
+        seq: u64,
+        /// Its word.
+        status: Status,
+    },
+}
+
 /// A pull, with the sender's own word on itself.
 #[value]
 pub struct Pull {
     /// The sender.
-    pub from: Entry,
-    /// Where the last pull ended.
+    pub from: From,
+    /// Where the last pull ended. An answer to a sender that is not known ends at the start, so
+    /// that the next pull comes in full.
     pub since: Cursor,
     /// What is asked for.
     pub scope: Scope,
--- a/foxtail-member/src/record.rs
+++ b/foxtail-member/src/record.rs
@@ -3,6 +3,7 @@
 use foxtail_platform::{HostEntry, HostState};
 use foxtail_types::prelude::*;
 
+use crate::members::SUSPECT_AFTER;
 use crate::msg::{Entry, Identity, Phase, Status};
 
 /// What this host knows of one host, itself included.
@@ -13,6 +14,8 @@
     pub(crate) revision: u64,
     /// When the host last pulled from this host.
     pub(crate) direct: Option<Millis>,
+    /// Since when this host, as its relay, expects its pulls.
+    pub(crate) expected: Option<Millis>,
     /// Since when pulls from it fail.
     pub(crate) failing: Option<Millis>,
     /// When it was first seen serving.
@@ -24,13 +27,14 @@
 }
 
 impl Record {
-    pub(crate) fn new(entry: Entry, revision: u64, now: Millis) -> Self {
+    pub(crate) fn new(entry: Entry, now: Millis) -> Self {
         let serving_since = (entry.status.phase == Phase::Serving).then_some(now);
         Self {
             entry,
-            revision,
+            revision: 0,
             direct: None,
             failing: None,
+            expected: None,
             serving_since,
             listed_leaving: false,
             listed: now,
@@ -38,11 +42,11 @@
     }
 
     /// A host known from the list alone: nothing is known of its state yet.
-    pub(crate) fn from_list(host: &HostEntry, revision: u64, now: Millis) -> Self {
+    pub(crate) fn from_list(host: &HostEntry, now: Millis) -> Self {
         let status =
             Status { phase: Phase::Starting, version: Version::default(), busy_permille: 0 };
         let entry = Entry { identity: identity(host), status, seq: 0, suspect: false };
-        let mut record = Self::new(entry, revision, now);
+        let mut record = Self::new(entry, now);
         record.listed_leaving = host.state == HostState::Leaving;
         record
     }
@@ -68,6 +72,18 @@
         true
     }
 
+    /// What others are told of when it changes.
+    pub(crate) fn notable(&self) -> (u64, Status, bool) {
+        (self.entry.identity.incarnation, self.entry.status, self.entry.suspect)
+    }
+
+    /// Whether its pulls are expected and missing, or pulls from it fail, for too long.
+    pub(crate) fn is_silent(&self, now: Millis) -> bool {
+        let heard = self.expected.map(|since| since.max(self.direct.unwrap_or_default()));
+        let long_ago = |at: Option<Millis>| at.is_some_and(|at| now.since(at) > SUSPECT_AFTER);
+        long_ago(heard) || long_ago(self.failing)
+    }
+
     /// Whether it may take part in anything new.
     pub(crate) fn takes_part(&self) -> bool {
         !self.entry.suspect && !self.listed_leaving && self.entry.status.phase != Phase::Leaving
