--- a/foxtail-member/src/members.rs
+++ b/foxtail-member/src/members.rs
@@ -23,6 +23,8 @@
 pub const AVOID_FOR: Millis = Millis(3_000);
 /// How long a suspect that is gone from the platform's list is remembered.
 pub const FORGET_AFTER: Millis = Millis(60_000);
+/// How many hosts in a row may pass on word of another region, each with its own delay.
+const FRESH_HOPS: u64 = 3;
 /// A change of load smaller than this is not worth passing on, in thousandths.
 const BUSY_STEP_PERMILLE: u16 = 50;
 
@@ -135,11 +137,7 @@
                 self.take(entry, now);
             }
         }
-        for (zone, age) in &delta.zones {
-            let at = now.since(*age);
-            let known = self.vouched.entry(zone.clone()).or_insert(at);
-            *known = at.max(*known);
-        }
+        self.vouch(scope, delta, now);
         self.cursors.insert((from, scope), delta.cursor);
     }
 
@@ -173,10 +171,34 @@
         }
     }
 
+    /// Takes over which zones were vouched for, and when.
+    fn vouch(&mut self, scope: Scope, delta: &Delta, now: Millis) {
+        let fresh = now.since(self.fresh());
+        if scope == Scope::World {
+            let others = self.book.regions().iter().filter(|(id, _)| **id != self.me.region);
+            let zones = others.flat_map(|(_, zones)| zones);
+            for zone in zones.filter(|zone| !delta.zones.iter().any(|(listed, _)| listed == *zone))
+            {
+                let known = self.vouched.entry(zone.clone()).or_insert(fresh);
+                *known = fresh.max(*known);
+            }
+        }
+        for (zone, age) in &delta.zones {
+            let at = now.since(*age);
+            let known = self.vouched.entry(zone.clone()).or_insert(at);
+            *known = at.max(*known);
+        }
+    }
+
+    /// The age up to which zones of other regions are left out of answers about the whole fleet.
+    fn fresh(&self) -> Millis {
+        PULL_EVERY * self.regions_every()
+    }
+
     fn is_vouched(&self, identity: &Identity, now: Millis) -> bool {
         let span = match identity.region == self.me.region {
             true => VOUCHED_FOR,
-            false => VOUCHED_FOR + PULL_EVERY * self.regions_every() * 2,
+            false => VOUCHED_FOR + self.fresh() * FRESH_HOPS,
         };
         self.vouched.get(&identity.zone).is_some_and(|at| now.since(*at) <= span)
     }
@@ -302,7 +324,8 @@
         Some(Task { to: to.clone(), peer, pull: Pull { from, since, scope } })
     }
 
-    /// How long ago each zone in scope was vouched for. A host that answers vouches for its own
+    /// How long ago each zone in scope was vouched for. Zones of other regions are left out while
+    /// that is not long, because there are many and it seldom is. A host that answers vouches for its own
     /// zone: it has marked the hosts there that fell silent.
     fn zones_in(&self, scope: Scope, now: Millis) -> Vec<(ZoneId, Millis)> {
         let all = self.book.regions().iter();
@@ -313,7 +336,12 @@
             true => Some(Millis::ZERO),
             false => self.vouched.get(zone).map(|at| now.since(*at)),
         };
-        wanted.filter_map(|zone| Some((zone.clone(), age(zone)?))).collect()
+        let near = self.book.regions().get(&self.me.region);
+        let told = |zone: &ZoneId, age: Millis| {
+            near.is_some_and(|near| near.contains(zone)) || age > self.fresh()
+        };
+        let aged = wanted.map(|zone| (zone, age(zone).unwrap_or(Millis::MAX)));
+        aged.filter(|(zone, age)| told(zone, *age)).map(|(zone, age)| (zone.clone(), age)).collect()
     }
 }
 
