--- a/foxtail-config/src/plan.rs
+++ b/foxtail-config/src/plan.rs
@@ -101,7 +101,10 @@
             accepted: Some("stop the drain of another zone first".to_owned()),
         });
     }
-    let changes = diff::diff(Some(&site.drains.to_vec()), Some(&drains));
+    let known = site.drains.iter().any(|drain| drain.target == *target);
+    let started =
+        Difference { field: "drain".to_owned(), before: None, after: Some(target.to_string()) };
+    let changes = if known { Vec::new() } else { vec![started] };
     Plan { changes, before, after, refused }
 }
 
--- a/foxtail-lab/examples/site.rs
+++ b/foxtail-lab/examples/site.rs
@@ -31,6 +31,7 @@
     let fleet = Fleet::start(shape, 1).await?;
     let hosts: Vec<_> = fleet.operators().into_iter().take(HOSTS_NAMED).collect();
     println!("{}", json!({ "hosts": hosts, "token": OPERATOR_TOKEN }));
+    eprintln!("platform {}", fleet.platform_addr());
     tokio::select! {
         done = tokio::signal::ctrl_c() => done?,
         () = callers(&fleet, percent / 100.0) => {}
--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -107,6 +107,11 @@
         hosts.iter().filter(|host| host.node.is_some()).map(|host| host.entry.caller).collect()
     }
 
+    /// Where the platform listens.
+    pub fn platform_addr(&self) -> SocketAddr {
+        self.platform.addr()
+    }
+
     /// Where operators reach the hosts that were not stopped.
     pub fn operators(&self) -> Vec<SocketAddr> {
         let hosts = self.hosts.lock();
--- a/foxtail-sync/src/admin/workspaces.rs
+++ b/foxtail-sync/src/admin/workspaces.rs
@@ -21,7 +21,7 @@
     pub async fn workspace_plan(&self, input: &Input) -> Result<Planned, Error> {
         let loaded = store::load(self.table.as_ref()).await?;
         let now = version_of(&loaded, &input.params.workspace);
-        if input.base != now && now != Version(0) {
+        if input.base != now && now != Version(0) && !is_same(&loaded, input) {
             return Err(self.conflict(&loaded, input).await);
         }
         Ok(Planned { plan: plan_workspace(&loaded, input)?, now })
--- a/foxtailctl/src/drains.rs
+++ b/foxtailctl/src/drains.rs
@@ -5,7 +5,7 @@
 use foxtail_wire::operator::{DrainStatus, OperatorClient};
 
 use crate::client::Client;
-use crate::exit::Failure;
+use crate::exit::{Failure, allowed};
 use crate::flags::{Drain, DrainAction};
 use crate::output::Output;
 use crate::wait::until_in_force;
@@ -19,10 +19,12 @@
         client.call(async |host| host.drain_stop(target.clone()).await).await?
     } else {
         let planned = client.call(async |host| host.drain_plan(target.clone()).await).await?;
-        out.plan(&planned);
         if let DrainAction::Plan = cmd.action {
-            return Ok(());
+            out.plan(&planned);
+            return allowed(&planned.plan);
         }
+        out.preview(&planned);
+        allowed(&planned.plan)?;
         client.call(async |host| host.drain_start(target.clone()).await).await?
     };
     until_in_force(&accepted, cmd.wait, client, out).await
--- a/foxtailctl/src/exit.rs
+++ b/foxtailctl/src/exit.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use foxtail_config::Plan;
 use foxtail_sync::admin::{Error, InForce};
 
 /// Why a call did not do what was asked.
@@ -46,6 +47,14 @@
     }
 }
 
+/// Fails if the plan says that the change would be refused.
+pub(crate) fn allowed(plan: &Plan) -> Result<(), Failure> {
+    if plan.refused.is_empty() {
+        return Ok(());
+    }
+    Err(Failure::Refused(Error::Refused(plan.refused.clone())))
+}
+
 fn late(got: &InForce) -> String {
     let names = |hosts: &[foxtail_types::HostId]| {
         hosts.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
--- a/foxtailctl/src/network.rs
+++ b/foxtailctl/src/network.rs
@@ -5,7 +5,7 @@
 use foxtail_wire::operator::OperatorClient;
 
 use crate::client::Client;
-use crate::exit::Failure;
+use crate::exit::{Failure, allowed};
 use crate::flags::{Network, NetworkAction};
 use crate::output::Output;
 use crate::wait::until_in_force;
@@ -20,10 +20,12 @@
     let file = file.ok_or_else(|| Failure::Usage("name the network's JSON file".to_owned()))?;
     let params: NetworkParams = read(file)?;
     let planned = client.call(async |host| host.network_plan(params.clone()).await).await?;
-    out.plan(&planned);
     if let NetworkAction::Plan = cmd.action {
-        return Ok(());
+        out.plan(&planned);
+        return allowed(&planned.plan);
     }
+    out.preview(&planned);
+    allowed(&planned.plan)?;
     let base = cmd.base.map(Version).ok_or_else(|| {
         Failure::Usage("give --base with the version that `network show` told".to_owned())
     })?;
--- a/foxtailctl/src/output.rs
+++ b/foxtailctl/src/output.rs
@@ -1,10 +1,11 @@
 //! What is printed, as text or as JSON.
 #![expect(clippy::print_stdout, reason = "printing is what this program does")]
 
-use std::fmt::Display;
+use std::time::SystemTime;
 
 use foxtail_config::headroom::{Headroom, slots_text};
 use foxtail_sync::admin::{Accepted, HistoryEntry, InForce, Planned, Shown};
+use foxtail_types::prelude::*;
 use foxtail_wire::operator::{DrainStatus, Explained, Status};
 use serde::Serialize;
 use serde_json::json;
@@ -41,16 +42,32 @@
         }
     }
 
+    /// What a change would do; its refusal is a failure of its own.
     pub(crate) fn plan(&self, planned: &Planned) {
         if self.json {
             return self.json(planned);
         }
+        self.preview(planned);
+    }
+
+    /// The plan of a change that is about to be made.
+    pub(crate) fn preview(&self, planned: &Planned) {
+        if self.json {
+            return;
+        }
         let plan = &planned.plan;
-        lines("changes:", &plan.changes, "  nothing");
-        headroom(&plan.before, &plan.after);
-        if !plan.refused.is_empty() {
-            lines("would be refused:", &plan.refused, "");
+        println!("changes:");
+        if plan.changes.is_empty() {
+            println!("  nothing");
+        }
+        for change in &plan.changes {
+            println!("  {change}");
         }
+        println!("headroom under the expected load:");
+        if plan.before == plan.after {
+            println!("  unchanged");
+        }
+        headroom(&plan.before, &plan.after, false);
     }
 
     pub(crate) fn accepted(&self, accepted: &Accepted, got: &InForce) {
@@ -101,11 +118,7 @@
             println!("no drains");
         }
         for DrainStatus { drain, in_flight } in drains {
-            println!(
-                "{}  started {}  in flight {in_flight}",
-                drain.target,
-                drain.started.0 / 1_000
-            );
+            println!("{}  started {}  in flight {in_flight}", drain.target, time(drain.started));
         }
     }
 
@@ -129,7 +142,10 @@
             );
         }
         match &status.headroom {
-            Some(room) => headroom(room, room),
+            Some(room) => {
+                println!("headroom under the expected load:");
+                headroom(room, room, true);
+            }
             None => println!("headroom: unknown, the platform's store can't be read now"),
         }
     }
@@ -141,11 +157,7 @@
         for decision in decisions {
             let Explained { host, at, kind, request, service, candidates, chosen, reason, .. } =
                 decision;
-            println!(
-                "{}.{:03} {host} {kind} request={request} service={service}",
-                at.0 / 1_000,
-                at.0 % 1_000
-            );
+            println!("{} {host} {kind} request={request} service={service}", time(*at));
             println!("    chosen {chosen}: {reason}");
             println!("    candidates {candidates}");
         }
@@ -155,20 +167,18 @@
     }
 }
 
-fn lines<T: Display>(title: &str, items: &[T], none: &str) {
-    println!("{title}");
-    if items.is_empty() {
-        println!("{none}");
-    }
-    for item in items {
-        println!("  {}", item.to_string().replace('\n', "\n  "));
-    }
+fn time(at: Millis) -> String {
+    let at = SystemTime::UNIX_EPOCH + at.duration();
+    humantime::format_rfc3339_millis(at).to_string()
 }
 
-fn headroom(before: &Headroom, after: &Headroom) {
-    println!("headroom under the expected load:");
+/// The pools and links that change, or all.
+fn headroom(before: &Headroom, after: &Headroom, all: bool) {
     for room in &after.pools {
         let was = before.pools.iter().find(|was| was.pool == room.pool);
+        if was == Some(room) && !all {
+            continue;
+        }
         let was = was.filter(|was| *was != room).map_or_else(String::new, |was| {
             format!("  (was {} of {})", slots_text(was.used_milli), was.slots)
         });
@@ -177,6 +187,9 @@
     }
     for room in &after.links {
         let was = before.links.iter().find(|was| was.link == room.link);
+        if was == Some(room) && !all {
+            continue;
+        }
         let was = was.filter(|was| *was != room).map_or_else(String::new, |was| {
             format!("  (was {} of {})", was.used_kbit_per_s / 1_000, was.mbit_per_s)
         });
--- a/foxtailctl/src/workspaces.rs
+++ b/foxtailctl/src/workspaces.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::client::Client;
-use crate::exit::Failure;
+use crate::exit::{Failure, allowed};
 use crate::flags::WorkspaceCmd;
 use crate::output::Output;
 use crate::wait::until_in_force;
@@ -26,8 +26,9 @@
             let input: Input = read(&cmd.file)?;
             let planned =
                 client.call(async |host| host.workspace_plan(input.clone()).await).await?;
-            out.plan(&planned);
-            Ok(())
+            out.preview(&planned);
+            allowed(&planned.plan)?;
+            allowed(&planned.plan)
         }
         WorkspaceCmd::Apply(cmd) => {
             let note = cmd.note.unwrap_or_default();
