--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -155,6 +155,7 @@
         self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
+        self.stop_owning.cancel();
         while self.owning.join_next().await.is_some() {}
         self.stop_control.cancel();
         while self.control.join_next().await.is_some() {}
