--- a/foxtail-lab/examples/quickstart.rs
+++ b/foxtail-lab/examples/quickstart.rs
@@ -20,7 +20,6 @@
 const DEFAULT_SECS: u64 = 15;
 const DEFAULT_LOAD_PERCENT: u64 = 30;
 const DEFAULT_SEED: u64 = 1;
-const ONCE_SHARE: f64 = 0.05;
 
 #[tokio::main]
 async fn main() -> Result<ExitCode> {
@@ -43,12 +42,8 @@
     let hosts = shape.hosts().len();
     println!("{}: starting 48 upstreams and {hosts} hosts", shape.workspace_id());
     let fleet = Fleet::start(shape, seed).await?;
-    let options = load::Options {
-        load: setting("FOXTAIL_LOAD_PERCENT", DEFAULT_LOAD_PERCENT) as f64 / 100.0,
-        span,
-        once_share: ONCE_SHARE,
-        seed,
-    };
+    let load = setting("FOXTAIL_LOAD_PERCENT", DEFAULT_LOAD_PERCENT) as f64 / 100.0;
+    let options = load::Options::new(load, span, seed);
     println!("load of {:.0}% of the capacity for {span}", options.load * 100.0);
     let (record, events) = tokio::join!(load::run(&fleet, options), events(&fleet, span));
     let report = Report::new(&fleet, record, &events?);
--- a/foxtail-lab/src/load/generator.rs
+++ b/foxtail-lab/src/load/generator.rs
@@ -22,6 +22,9 @@
 /// How often a caller asks again after it was told "unknown" or lost the connection.
 const ASKS_MAX: u32 = 5;
 const ASK_AGAIN_PAUSE: Millis = Millis(200);
+/// How long callers keep idle connections: less than hosts do, so that no request is sent on a
+/// connection that its host is about to close.
+const IDLE_MAX: Millis = Millis::secs(5);
 
 /// The load.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +39,13 @@
     pub seed: u64,
 }
 
+impl Options {
+    /// `load` of the capacity for `span`, with a twentieth of what may be once-only so.
+    pub fn new(load: f64, span: Millis, seed: u64) -> Self {
+        Self { load, span, once_share: 0.05, seed }
+    }
+}
+
 /// The callers of one service in one region.
 struct Callers {
     workspace: WorkspaceId,
@@ -54,7 +64,7 @@
     let mut tasks = JoinSet::new();
     for (region, name) in shape.network.regions.iter().map(|region| &region.id).enumerate() {
         let dial = fleet.fabric().dial_from(Place::client(name));
-        let client = client(dial, &HttpOptions::default());
+        let client = client(dial, &HttpOptions { idle: IDLE_MAX, ..HttpOptions::default() });
         let directory = Directory::new(shape.workspace_id(), name, fleet.entries());
         let directory = Arc::new(directory);
         for (n, service) in shape.services.iter().enumerate() {
