--- a/foxtail-limit/tests/model.rs
+++ b/foxtail-limit/tests/model.rs
@@ -25,8 +25,8 @@
     Pause(usize),
     Wake(usize),
     Stop(usize),
-    Cut(usize),
-    Join(usize),
+    Part(usize, bool),
+    CutStore(usize, bool),
     StoreDown(bool),
     Lossy(bool),
 }
@@ -50,8 +50,8 @@
             2 => (0..HOSTS).prop_map(Step::Pause),
             2 => (0..HOSTS).prop_map(Step::Wake),
             1 => (0..KIN).prop_map(Step::Stop),
-            1 => (0..HOSTS).prop_map(Step::Cut),
-            1 => (0..HOSTS).prop_map(Step::Join),
+            2 => (0..HOSTS, any::<bool>()).prop_map(|(at, side)| Step::Part(at, side)),
+            2 => (0..KIN, any::<bool>()).prop_map(|(at, cut)| Step::CutStore(at, cut)),
             2 => any::<bool>().prop_map(Step::StoreDown),
             1 => any::<bool>().prop_map(Step::Lossy),
         ]
@@ -99,8 +99,8 @@
         Step::Pause(at) => world.pause(at, true),
         Step::Wake(at) => world.pause(at, false),
         Step::Stop(at) => world.stop(at),
-        Step::Cut(at) => world.cut(at, true),
-        Step::Join(at) => world.cut(at, false),
+        Step::Part(at, side) => world.part(at, side),
+        Step::CutStore(at, cut) => world.cut_store(at, cut),
         Step::StoreDown(down) => world.store_down = down,
         Step::Lossy(lossy) => world.lossy = lossy,
     }
--- a/foxtail-limit/tests/world/mod.rs
+++ b/foxtail-limit/tests/world/mod.rs
@@ -118,7 +118,10 @@
     healed: bool,
     changes: Vec<(u64, usize, bool)>,
     listed: Vec<bool>,
-    cut: Vec<bool>,
+    /// On which side of a partition each host is.
+    side: Vec<bool>,
+    /// Hosts that don't reach the store.
+    storeless: Vec<bool>,
     pub(crate) store_down: bool,
     pub(crate) lossy: bool,
     /// Owners trust that no ticket of a former owner is out.
@@ -152,7 +155,8 @@
             healed: false,
             changes: Vec::new(),
             listed: vec![true; HOSTS],
-            cut: vec![false; HOSTS],
+            side: vec![false; HOSTS],
+            storeless: vec![false; HOSTS],
             store_down: false,
             lossy: false,
             forgetful: false,
@@ -204,9 +208,14 @@
         }
     }
 
-    /// Cuts a host off from the other hosts, but not from the store.
-    pub(crate) fn cut(&mut self, at: usize, cut: bool) {
-        self.cut[at] = cut;
+    /// Puts a host on one side of a partition between hosts.
+    pub(crate) fn part(&mut self, at: usize, side: bool) {
+        self.side[at] = side;
+    }
+
+    /// Cuts a host off from the store, or joins it again.
+    pub(crate) fn cut_store(&mut self, at: usize, cut: bool) {
+        self.storeless[at] = cut;
     }
 
     /// Ends all faults, and keeps a process on every host from now on.
@@ -214,7 +223,8 @@
         self.healed = true;
         self.store_down = false;
         self.lossy = false;
-        self.cut = vec![false; HOSTS];
+        self.side = vec![false; HOSTS];
+        self.storeless = vec![false; HOSTS];
         for at in 0..HOSTS {
             self.hosts[at].paused = false;
             self.start(at);
@@ -356,7 +366,7 @@
     }
 
     fn store(&mut self, at: usize, process: u64, op: OpId, action: Action) {
-        if self.store_down {
+        if self.store_down || self.storeless[at] {
             return;
         }
         let done = match action {
@@ -365,7 +375,8 @@
             Action::Call { .. } => return,
         };
         if !(self.lossy && self.rng.random_bool(0.3)) {
-            let delay = self.rng.random_range(0..30);
+            let late = if self.lossy { STORE_TIMEOUT.0 } else { 30 };
+            let delay = self.rng.random_range(0..late);
             self.push(delay, at, What::Stored { process, op, done });
         }
     }
@@ -544,7 +555,7 @@
     }
 
     fn passes(&mut self, from: usize, to: usize) -> bool {
-        let cut = from != to && (self.cut[from] || self.cut[to]);
+        let cut = self.side[from] != self.side[to];
         let lost = self.lossy && self.rng.random_bool(0.1);
         !(cut || lost)
     }
