feat(limit): archive requests ask again until their deadline

An archive request that an overloaded pool refuses waits as advised and asks again while its deadline allows.

--- a/foxtail-limit/src/shared/ask.rs
+++ b/foxtail-limit/src/shared/ask.rs
@@ -17,6 +17,8 @@
 const BACKOFF_MAX: Millis = Millis(160);
 /// The part of the time left for which an owner is looked for.
 const PATIENCE_DIV: u64 = 2;
+/// An archive request asks again if this many times the advised wait is left.
+const ARCHIVE_MARGIN: u64 = 2;
 /// How long a reservation's reply is waited for.
 const RESERVE_TIMEOUT: Millis = Millis(500);
 
@@ -57,7 +59,10 @@
                         return Ok(ticket);
                     }
                 }
-                Some(Reply::Refused(refusal)) => return Err(refusal),
+                Some(Reply::Refused(refusal)) => {
+                    self.wait_for_turn(req, refusal).await?;
+                    continue;
+                }
                 Some(Reply::NotOwner { owner }) => self.holder.learn(&shard, owner),
                 _ => self.holder.learn(&shard, None),
             }
@@ -65,6 +70,20 @@
         }
     }
 
+    /// An archive request asks again after a refusal while its deadline allows, as it may wait but
+    /// must arrive; any other is told at once.
+    async fn wait_for_turn(&self, req: &Acquire<'_>, refusal: Refusal) -> Result<(), Refusal> {
+        let after = match (req.class, &refusal) {
+            (Class::Archive, Refusal::Overloaded { retry_after }) => *retry_after,
+            _ => return Err(refusal),
+        };
+        if self.clock.now() + after * ARCHIVE_MARGIN >= req.deadline {
+            return Err(refusal);
+        }
+        tokio::time::sleep(after.max(BACKOFF_MIN).duration()).await;
+        Ok(())
+    }
+
     /// Sends a reservation to the owner of `shard`; returns when it was sent, and the wait.
     pub(super) async fn reserve(
         &self,
--- a/foxtail-limit/tests/live.rs
+++ b/foxtail-limit/tests/live.rs
@@ -69,6 +69,17 @@
 
     /// Runs `count` requests at each host, evenly over `span`; returns how many were answered.
     async fn load(&self, at: &[usize], pool: &PoolId, count: u32, span: Duration) -> u32 {
+        self.load_of(Class::Interactive, at, pool, count, span).await
+    }
+
+    async fn load_of(
+        &self,
+        class: Class,
+        at: &[usize],
+        pool: &PoolId,
+        count: u32,
+        span: Duration,
+    ) -> u32 {
         let mut requests = JoinSet::new();
         for i in 0..count {
             for node in at {
@@ -78,7 +89,7 @@
                 let start = span * i / count;
                 requests.spawn(async move {
                     tokio::time::sleep(start).await;
-                    request(&limiter, clock.as_ref(), &pool, &busy, &peak).await.is_ok()
+                    request(&limiter, clock.as_ref(), &pool, class, &busy, &peak).await.is_ok()
                 });
             }
         }
@@ -100,14 +111,16 @@
     limiter: &SharedLimiter,
     clock: &RuntimeClock,
     pool: &PoolId,
+    class: Class,
     busy: &AtomicU32,
     peak: &AtomicU32,
 ) -> Result<(), Refusal> {
     let req = Acquire {
         request: RequestId::fresh(),
         pool,
-        class: Class::Interactive,
-        deadline: clock.now() + Millis(2_000),
+        class,
+        deadline: clock.now()
+            + if class == Class::Archive { Millis::secs(60) } else { Millis(2_000) },
         avoid: &[],
         request_bytes: 1_000,
         answer_bytes: 4_000,
@@ -137,6 +150,21 @@
     assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_overloaded_pool_serves_at_capacity_and_archive_requests_arrive() {
+    let bench = Bench::new(&["sabah"], 3);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (pool, span) = (common::pool("sabah"), Duration::from_secs(20));
+    // 150 interactive requests a second, of which 6 slots of 50 ms can serve 120.
+    let interactive = bench.load(&[0, 1, 2], &pool, 1_000, span);
+    let archive = bench.load_of(Class::Archive, &[1], &pool, 50, Duration::from_secs(5));
+    let (answered, archived) = tokio::join!(interactive, archive);
+    assert_eq!(archived, 50);
+    let capacity = 120 * 20;
+    assert!(answered + archived >= capacity * 95 / 100, "{answered} and {archived} answered");
+    assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
+}
+
 #[tokio::test(start_paused = true)]
 async fn one_host_alone_may_use_all_slots() {
     let bench = Bench::new(&["sabah"], 3);
