feat(limit): hosts retire before they leave

A host that leaves stays listed for a while, and an owner in a store outage waited for its promise in vain: it fell to the reserve. A leaving host now takes over nothing any more before it tells the others, who then do without its promise. A successor gives out no link bytes or shift before another host of the region has answered its fence, as a second line.

tests/live.rs: with the store down, a leaving host that exits and stays listed, 160 of 160 requests at two hosts are answered.

--- a/foxtail-limit/src/lib.rs
+++ b/foxtail-limit/src/lib.rs
@@ -15,7 +15,8 @@
 //!    drop the future when the asking host has gone.
 //! 4. Call [`SharedLimiter::configure`] for each new configuration, and
 //!    [`SharedLimiter::set_hosts`] for each change of the platform's list of hosts: the whole list,
-//!    as a suspect that is left out could take over unasked.
+//!    as a suspect that is left out could take over unasked. When the host begins to leave, call
+//!    [`SharedLimiter::retire`] before it tells the others.
 //! 5. For each [`Ticket`]: stop using it before `expires`, send the upstream no later deadline than
 //!    that, and give it to [`Limiter::release`] exactly once.
 
--- a/foxtail-limit/src/owner/mod.rs
+++ b/foxtail-limit/src/owner/mod.rs
@@ -267,7 +267,7 @@
         bytes: u64,
         patience: Millis,
     ) -> Reply {
-        if self.authority(now) != Authority::Full {
+        if self.authority(now) != Authority::Full || self.disputed() {
             return Reply::NotOwner { owner: None };
         }
         let Some(budget) = self.links.get_mut(link) else {
@@ -281,7 +281,7 @@
 
     /// Takes one request out of a shift budget.
     pub fn reserve_shift(&mut self, now: Millis, workspace: &WorkspaceId) -> Reply {
-        if self.authority(now) != Authority::Full {
+        if self.authority(now) != Authority::Full || self.disputed() {
             return Reply::NotOwner { owner: None };
         }
         let budget = self.shifts.get_mut(workspace);
@@ -324,6 +324,11 @@
         self.pools.iter().map(move |(id, pool)| (id, pool.usage(now)))
     }
 
+    /// Whether a former owner may go on by promises of which this owner has not heard.
+    fn disputed(&self) -> bool {
+        matches!(self.start, Start::Unknown { since: Millis::MAX, .. })
+    }
+
     fn note(&mut self, now: Millis, note: Note) {
         match note {
             Note::Release { pool, epoch, serial, seen } => {
--- a/foxtail-limit/src/shared/mod.rs
+++ b/foxtail-limit/src/shared/mod.rs
@@ -84,7 +84,8 @@
     /// Takes over the platform's list of hosts, whole, and those of them that seem dead.
     ///
     /// What must be safe goes by the list alone; suspects are only passed over when owners are
-    /// looked for and chosen.
+    /// looked for and chosen. A host is `Leaving` here only by its own word, given after
+    /// [`SharedLimiter::retire`].
     pub fn set_hosts(&self, hosts: &[HostEntry], suspects: &[HostId]) {
         let mut near: Vec<HostEntry> = hosts.to_vec();
         near.retain(|host| !suspects.contains(&host.id));
@@ -92,6 +93,12 @@
         self.station.lock().set_hosts(hosts, suspects);
     }
 
+    /// Takes over no shard any more. Call it before other hosts are told that this one leaves: they
+    /// ask it for no promise from then on.
+    pub fn retire(&self) {
+        self.station.lock().retire();
+    }
+
     /// What is to be done about ownership now.
     pub(crate) fn poll(&self) -> Vec<(OpId, Action)> {
         self.station.lock().poll(self.clock.now(), self.parts())
--- a/foxtail-limit/src/station/mod.rs
+++ b/foxtail-limit/src/station/mod.rs
@@ -51,6 +51,7 @@
     renewing: bool,
     store_silent: bool,
     round: Option<Round>,
+    retired: bool,
     stopping: bool,
 }
 
@@ -153,6 +154,7 @@
             renewing: false,
             store_silent: true,
             round: None,
+            retired: false,
             stopping: false,
         };
         station.configure(snapshot);
@@ -170,13 +172,21 @@
     }
 
     /// Takes over the platform's list of hosts, whole, and those of them that seem dead.
+    ///
+    /// A host is `Leaving` here only by its own word, given after [`Station::retire`].
     pub fn set_hosts(&mut self, hosts: &[HostEntry], suspects: &[HostId]) {
         self.hosts = hosts.to_vec();
         self.suspects = suspects.to_vec();
     }
 
+    /// Takes over nothing any more; what is owned stays owned.
+    pub fn retire(&mut self) {
+        self.retired = true;
+    }
+
     /// Begins to hand over all that this host owns.
     pub fn stop(&mut self) {
+        self.retire();
         self.stopping = true;
     }
 
@@ -229,18 +239,16 @@
         actions.push((id, action));
     }
 
-    /// The other hosts of the region, also those told to leave.
+    /// The other hosts of the region that may take over: all but those that have retired.
     fn kin(&self) -> impl Iterator<Item = &HostId> {
         let others = self.hosts.iter().filter(|host| host.id != self.me.host);
-        others.filter(|host| host.region == self.me.region).map(|host| &host.id)
+        let kin = others.filter(|host| host.region == self.me.region);
+        kin.filter(|host| host.state == HostState::Live).map(|host| &host.id)
     }
 
-    /// The other hosts of the region that can own shards.
+    /// Those of them that seem to be alive.
     fn live_kin(&self) -> impl Iterator<Item = &HostId> {
-        let others = self.hosts.iter().filter(|host| host.id != self.me.host);
-        let others = others.filter(|host| !self.suspects.contains(&host.id));
-        let kin = others.filter(|host| host.region == self.me.region);
-        kin.filter(|host| host.state == HostState::Live).map(|host| &host.id)
+        self.kin().filter(|host| !self.suspects.contains(host))
     }
 
     fn claiming(&self) -> bool {
--- a/foxtail-limit/src/station/serve.rs
+++ b/foxtail-limit/src/station/serve.rs
@@ -69,7 +69,7 @@
         held: &[Held],
         complete: bool,
     ) -> Reply {
-        let Some(lease) = self.leases.get_mut(shard).filter(|_| !self.stopping) else {
+        let Some(lease) = self.leases.get_mut(shard).filter(|_| !self.retired) else {
             return Reply::NotOwner { owner: None };
         };
         let token = lease.ready(now, epoch);
--- a/foxtail-limit/src/station/store.rs
+++ b/foxtail-limit/src/station/store.rs
@@ -56,7 +56,7 @@
         let mut writes = Vec::new();
         for (shard, lease) in &mut self.leases {
             let term = self.terms.get(shard);
-            if term.is_some_and(|term| term.leaving()) || (term.is_none() && self.stopping) {
+            if term.is_some_and(|term| term.leaving()) || (term.is_none() && self.retired) {
                 continue;
             }
             let legacy = term.map_or(lease.legacy(), |term| term.legacy(shard, cx));
@@ -93,7 +93,7 @@
 
     /// Claims free shards, each in a transaction of its own, as any may be lost to another host.
     pub(super) fn claim(&mut self, now: Millis, actions: &mut Vec<(OpId, Action)>) {
-        if self.stopping || self.claiming() {
+        if self.retired || self.claiming() {
             return;
         }
         let young = now < self.started + covering(PROMISE);
--- a/foxtail-limit/src/station/term.rs
+++ b/foxtail-limit/src/station/term.rs
@@ -126,7 +126,7 @@
     fn start_term_if_won(&mut self, now: Millis, shard: &ShardId, cx: Parts<'_>) {
         let Some(lease) = self.leases.get(shard) else { return };
         let Some(epoch) = lease.own_epoch().filter(|_| now < lease.until()) else { return };
-        if self.terms.contains_key(shard) || self.stopping {
+        if self.terms.contains_key(shard) || self.retired {
             return;
         }
         let claim = self.claimed.remove(shard).filter(|(claimed, _)| *claimed == epoch);
@@ -171,16 +171,12 @@
 
     /// A former owner that the platform does not list any more can't give out its reserve.
     fn forget_gone_formers(&mut self, now: Millis, shard: &ShardId, cx: Parts<'_>) {
-        let lone = self.kin().next().is_none() && !self.hosts.is_empty();
         let listed = |former: &HostId| self.hosts.iter().any(|host| host.id == *former);
         let any_listed = self.terms.get(shard).is_some_and(|term| term.formers.iter().any(listed));
+        let former = self.terms.get(shard).and_then(|term| term.former.as_ref());
+        let nobody_else = !self.hosts.is_empty() && self.kin().all(|host| Some(host) == former);
         let Some(term) = self.terms.get_mut(shard) else { return };
-        let only_former = self.hosts.iter().all(|host| {
-            host.id == self.me.host
-                || host.region != self.me.region
-                || term.former.as_ref() == Some(&host.id)
-        });
-        let undisputed = term.kin_replied || lone || (only_former && !self.hosts.is_empty());
+        let undisputed = term.kin_replied || nobody_else;
         if term.lapsed && undisputed {
             term.lapsed = false;
             let since = now.max(term.withheld_until);
--- a/foxtail-limit/tests/live.rs
+++ b/foxtail-limit/tests/live.rs
@@ -9,6 +9,7 @@
 use common::{MemTable, Mesh, RuntimeClock};
 use foxtail_limit::owner::MostFree;
 use foxtail_limit::{Acquire, Limiter, Me, Refusal, Seen, SharedLimiter, Verdict, driver};
+use foxtail_platform::{HostEntry, HostState};
 use foxtail_types::prelude::*;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -101,6 +102,16 @@
         self.nodes.iter().position(owns).expect("one host owns the shard")
     }
 
+    fn list_as_leaving(&self, leaver: usize) {
+        let entry = |(at, node): (usize, &Node)| {
+            let entry = common::entry(&node.limiter.me().host, node.limiter.me().region.as_str());
+            let state = if at == leaver { HostState::Leaving } else { HostState::Live };
+            HostEntry { state, ..entry }
+        };
+        let entries: Vec<_> = self.nodes.iter().enumerate().map(entry).collect();
+        self.nodes.iter().for_each(|node| node.limiter.set_hosts(&entries, &[]));
+    }
+
     fn kill(&mut self, at: usize) {
         self.nodes[at].driver.abort();
         self.mesh.dead.lock().insert(self.nodes[at].limiter.me().host.clone());
@@ -217,6 +228,25 @@
     assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_host_that_leaves_in_a_store_outage_takes_no_service_along() {
+    let mut bench = Bench::new(&["sabah"], 4);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    *bench.table.down.lock() = true;
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let owner = bench.owner();
+    let leaver = (owner + 1) % 4;
+    bench.nodes[leaver].limiter.retire();
+    bench.list_as_leaving(leaver);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    bench.kill(leaver);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let pool = common::pool("sabah");
+    let answered = bench.load(&[owner, (owner + 2) % 4], &pool, 80, Duration::from_secs(2)).await;
+    assert_eq!(answered, 160);
+    assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
+}
+
 #[tokio::test(start_paused = true)]
 async fn requests_to_another_region_stay_within_the_shift_cap() {
     let bench = Bench::new(&["sabah", "sarawak"], 2);
--- a/foxtail-limit/tests/world/mod.rs
+++ b/foxtail-limit/tests/world/mod.rs
@@ -13,8 +13,8 @@
 use foxtail_limit::shift::USE_WITHIN;
 use foxtail_limit::station::{Action, Done, OpId, Parts, STORE_TIMEOUT, Station};
 use foxtail_limit::{Me, Seen, ShardId, Ticket, Unreachable, Verdict};
-use foxtail_platform::HostEntry;
 use foxtail_platform::table::{Error, Outcome};
+use foxtail_platform::{HostEntry, HostState};
 use foxtail_types::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -69,6 +69,7 @@
     holder: Holder,
     asks: HashMap<u64, Millis>,
     epoch: Epoch,
+    leaving: bool,
     serving: Vec<(oneshot::Receiver<Reply>, usize, u64, u64)>,
 }
 
@@ -184,7 +185,16 @@
         let hosted = Hosted::new(clock);
         let (holder, asks, serving) = (Holder::default(), HashMap::new(), Vec::new());
         let epoch = Epoch::default();
-        let process = Process { no: self.next, station, hosted, holder, asks, epoch, serving };
+        let process = Process {
+            no: self.next,
+            station,
+            hosted,
+            holder,
+            asks,
+            epoch,
+            leaving: false,
+            serving,
+        };
         self.hosts[at].process = Some(process);
         self.hosts[at].started = self.now;
         self.changes.push((self.now + LIST_LAG, at, true));
@@ -205,6 +215,8 @@
     pub(crate) fn stop(&mut self, at: usize) {
         if let Some(process) = &mut self.hosts[at].process {
             process.station.stop();
+            process.leaving = true;
+            self.changes.push((self.now, at, true));
         }
     }
 
@@ -551,7 +563,13 @@
 
     fn list(&self) -> Vec<HostEntry> {
         let listed = (0..HOSTS).filter(|at| self.listed[*at]);
-        listed.map(|at| common::entry(&self.hosts[at].id, region_of(at))).collect()
+        listed.map(|at| self.entry(at)).collect()
+    }
+
+    fn entry(&self, at: usize) -> HostEntry {
+        let leaving = self.hosts[at].process.as_ref().is_some_and(|process| process.leaving);
+        let state = if leaving { HostState::Leaving } else { HostState::Live };
+        HostEntry { state, ..common::entry(&self.hosts[at].id, region_of(at)) }
     }
 
     fn passes(&mut self, from: usize, to: usize) -> bool {
--- a/foxtail-node/src/limits.rs
+++ b/foxtail-node/src/limits.rs
@@ -7,6 +7,7 @@
 use foxtail_limit::msg::{Reply, Request};
 use foxtail_limit::owner::MostFree;
 use foxtail_limit::{Me, Peers, SharedLimiter, Unreachable};
+use foxtail_member::msg::Phase;
 use foxtail_member::{Member, View};
 use foxtail_platform::{HostEntry, HostState};
 use foxtail_types::prelude::*;
@@ -102,14 +103,16 @@
     }
 }
 
-/// All hosts that the platform lists, and those of them that seem dead.
+/// All hosts that the platform lists, and those of them that own nothing new.
 fn hosts(view: &View) -> (Vec<HostEntry>, Vec<HostId>) {
-    let suspects = view.hosts.iter().filter(|member| member.suspect);
+    let suspects = view.hosts.iter().filter(|member| !member.is_live());
     let suspects = suspects.map(|member| member.identity.id.clone()).collect();
     (view.hosts.iter().map(entry).collect(), suspects)
 }
 
+/// A host counts as leaving by its own word alone: the platform's may not have reached it yet.
 fn entry(member: &Member) -> HostEntry {
+    let retired = member.status.phase == Phase::Leaving;
     let identity = member.identity.clone();
     HostEntry {
         id: identity.id,
@@ -119,7 +122,7 @@
         caller: identity.caller,
         peer: identity.peer,
         operator: identity.operator,
-        state: if member.leaving { HostState::Leaving } else { HostState::Live },
+        state: if retired { HostState::Leaving } else { HostState::Live },
     }
 }
 
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -146,6 +146,7 @@
     pub async fn stop(mut self, options: stop::Options) -> stop::Report {
         let started = self.state.clock.now();
         tracing::info!(event = "host_leaving", host = %self.state.settings.host);
+        self.state.owners.retire();
         self.state.leaving.store(true, Ordering::SeqCst);
         members::announce(&self.state).await;
         tokio::time::sleep(options.settle.duration()).await;
