--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use foxtail_config::stage::Reach;
 use foxtail_member::Identity;
 use foxtail_net::Dial;
 use foxtail_net::http;
@@ -126,6 +127,11 @@
         self.state.status().version
     }
 
+    /// The configuration it holds, and how far that has got.
+    pub fn config(&self) -> (Version, Reach) {
+        self.state.spread.reach()
+    }
+
     /// The fleet as it sees it.
     pub fn view(&self) -> Arc<foxtail_member::View> {
         self.state.fleet.view.load_full()
@@ -142,13 +148,14 @@
         tracing::info!(event = "host_leaving", host = %self.state.settings.host);
         self.state.leaving.store(true, Ordering::SeqCst);
         members::announce(&self.state).await;
-        self.stop_owning.cancel();
         tokio::time::sleep(options.settle.duration()).await;
         self.stop_callers.cancel();
         let cut_off = self.finish(options.finish).await;
+        self.stop_owning.cancel();
         self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
+        self.stop_owning.cancel();
         while self.owning.join_next().await.is_some() {}
         self.stop_control.cancel();
         while self.control.join_next().await.is_some() {}
