--- a/foxtail-route/benches/decision.rs
+++ b/foxtail-route/benches/decision.rs
@@ -1,15 +1,14 @@
-//! One routing decision, and one choice of an upstream, at today's size and at the target size.
+//! One routing decision at today's size and at the target size.
 
 use std::hint::black_box;
 
 use criterion::Criterion;
-use foxtail_route::pick::{self, Candidate};
 use foxtail_route::plan::{Headroom, Options, Report, State};
-use foxtail_route::{Picker, PoolView, Query, Standing, ZoneFirst, plan};
+use foxtail_route::{PoolView, Query, plan};
 use foxtail_types::prelude::*;
 
-/// The sizes: regions, and upstreams in one pool.
-const SIZES: [(&str, usize, usize); 2] = [("today", 3, 4), ("target", 20, 36)];
+/// The sizes, by the number of regions.
+const SIZES: [(&str, usize); 2] = [("today", 3), ("target", 20)];
 const NOW: Millis = Millis(100_000);
 
 fn regions(n: usize) -> Vec<RegionId> {
@@ -51,36 +50,11 @@
     });
 }
 
-fn bench_pick(c: &mut Criterion, name: &str, n: usize) {
-    let zones = ["a", "b"].map(|zone| ZoneId::new(zone).expect("a valid name"));
-    let id = |at| UpstreamId::new(&format!("upstream-{at}")).expect("a valid name");
-    let ids: Vec<UpstreamId> = (0..n).map(id).collect();
-    let candidate = |(at, upstream)| Candidate {
-        upstream,
-        zone: &zones[at % 2],
-        free: at as u32 % 3,
-        busy: 3 - at as u32 % 3,
-        standing: Standing::Healthy,
-        warm: at % 5 > 0,
-        queued_hint: 0,
-    };
-    let candidates: Vec<Candidate<'_>> = ids.iter().enumerate().map(candidate).collect();
-    let mut seed = 0;
-    c.bench_function(&format!("pick/{name}"), |b| {
-        b.iter(|| {
-            seed += 1;
-            let query = pick::Query { zone: &zones[0], avoid: &ids[..1], seed };
-            black_box(ZoneFirst.pick(black_box(&query), black_box(&candidates)))
-        });
-    });
-}
-
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     let c = &mut criterion;
-    for (name, regions, upstreams) in SIZES {
+    for (name, regions) in SIZES {
         bench_plan(c, name, regions);
-        bench_pick(c, name, upstreams);
     }
     criterion.final_summary();
 }
--- a/foxtail-route/src/plan.rs
+++ b/foxtail-route/src/plan.rs
@@ -390,7 +390,7 @@
 }
 
 /// Mixes `seed` and `index` into a number that orders equal candidates differently for each seed.
-pub(crate) fn mix(seed: u64, index: usize) -> u64 {
+fn mix(seed: u64, index: usize) -> u64 {
     let mut x = seed ^ (index as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
