--- a/foxtail-retry/src/crash.rs
+++ b/foxtail-retry/src/crash.rs
@@ -4,6 +4,10 @@
 //! same upstream is refused, or if another connection to it broke within [`WINDOW`]. It is weaker
 //! evidence if neither holds, or if connections to several other upstreams broke as well: then the
 //! network is to blame.
+//!
+//! An attempt that was given up after the request had been sent (its deadline passed, or the caller
+//! went away) may crash its upstream all the same. Its permit is therefore kept for
+//! [`ABANDONED_FOR`], and a trial connection made then; only [`Probe::Refused`] counts as a crash.
 
 use std::collections::HashMap;
 
@@ -16,6 +20,8 @@
 pub const WINDOW: Millis = Millis::secs(1);
 /// How long to wait for the new connection that tells the one from the other.
 pub const PROBE_TIMEOUT: Millis = Millis(500);
+/// How long the permit of an attempt that was given up is kept.
+pub const ABANDONED_FOR: Millis = Millis(500);
 /// Breaks of so many other upstreams speak for a fault of the network.
 const OTHERS_BROKEN: usize = 2;
 /// The most upstreams kept track of.
--- a/foxtail-retry/tests/support/mod.rs
+++ b/foxtail-retry/tests/support/mod.rs
@@ -13,5 +13,3 @@
         ..Config::default()
     })
 }
-
-pub(crate) mod fleet;
--- a/foxtail-retry/tests/watch.rs
+++ b/foxtail-retry/tests/watch.rs
@@ -1,11 +1,13 @@
 //! Many hosts, callers that send again everywhere at once, late and lost messages: one request
 //! brings down at most two upstreams, and those that shared them are answered.
 
+mod fleet;
 mod support;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use fleet::{Faults, Fleet, fp};
 use foxtail_retry::msg::Ended;
 use foxtail_retry::record::{Evidence, Standing};
 use foxtail_retry::watch::Case;
@@ -14,7 +16,6 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use support::fleet::{Faults, Fleet, fp};
 use tokio::task::JoinSet;
 
 /// What runs on the upstreams.
@@ -152,7 +153,7 @@
 fn one_request_brings_down_at_most_two_upstreams() {
     support::runner(100)
         .run(&worlds(), |world| {
-            let down = support::fleet::paused().block_on(play(&world))?;
+            let down = fleet::paused().block_on(play(&world))?;
             prop_assert!(down <= 2, "{down} upstreams brought down");
             Ok(())
         })
@@ -165,7 +166,7 @@
     support::runner(100)
         .run(&(worlds(), 1u8..30), |(mut world, unheard_percent)| {
             world.faults.unheard_percent = unheard_percent;
-            let down = support::fleet::paused().block_on(play(&world))?;
+            let down = fleet::paused().block_on(play(&world))?;
             prop_assert!(down <= 3, "{down} upstreams brought down");
             Ok(())
         })
