--- a/foxtail-place/benches/lookup.rs
+++ b/foxtail-place/benches/lookup.rs
@@ -1,4 +1,5 @@
-//! One block look-up and one whole look-up, at today's size and at the target size.
+//! One block look-up, one whole look-up, and compiling the directory of hosts, at today's size and
+//! at the target size.
 
 use std::hint::black_box;
 use std::net::{IpAddr, Ipv4Addr};
@@ -60,7 +61,7 @@
     (0..ADDRS).map(addr).collect()
 }
 
-fn directory(regions: usize, hosts: usize) -> Directory {
+fn fleet(regions: usize, hosts: usize) -> (Vec<HostView>, Network) {
     let host = |n: usize| HostView {
         id: HostId::new(&format!("host-{n}")).expect("a valid name"),
         region: region(n % regions),
@@ -86,7 +87,7 @@
         links: pairs.map(link).collect(),
         owner_shards: 2,
     };
-    Directory::new(hosts[0].clone(), &hosts, &network)
+    (hosts, network)
 }
 
 fn main() {
@@ -97,7 +98,8 @@
         let blocks = if testing { blocks.min(10_000) } else { blocks };
         let map = map(blocks, sites, regions);
         let addrs = addrs(blocks);
-        let directory = directory(regions, hosts);
+        let (hosts, network) = fleet(regions, hosts);
+        let directory = Directory::new(hosts[0].clone(), &hosts, &network);
         let mut next = 0;
         let mut addr = move || {
             next = (next + 1) % ADDRS;
@@ -112,6 +114,9 @@
                 black_box(lookup(&directory, &map, &caller)).ttl
             });
         });
+        c.bench_function(&format!("directory/{name}"), |b| {
+            b.iter(|| black_box(Directory::new(hosts[0].clone(), &hosts, &network)));
+        });
     }
     criterion.final_summary();
 }
