perf(place): a range's start and site side by side, and the directory in one pass

Cause: a look-up at the target size waits for memory, once for the start and once for the site of its range; the directory went through all hosts once for each region and tier. Change: the two stand side by side in the chunks for IPv4; the directory sorts the hosts into regions and tiers in one pass.

--- a/foxtail-place/src/directory.rs
+++ b/foxtail-place/src/directory.rs
@@ -99,13 +99,18 @@
     /// Compiles `hosts`. `own` is the answering host, listed when nothing else is known.
     pub fn new(own: HostView, hosts: &[HostView], network: &Network) -> Self {
         let mut regions: Vec<Group> = network.regions.iter().map(|it| Group::new(&it.id)).collect();
+        let mut tiers: Vec<[Vec<Listed>; 3]> = Vec::new();
         for host in hosts {
-            if !regions.iter().any(|group| group.region == host.region) {
+            let known = regions.iter().position(|group| group.region == host.region);
+            let at = known.unwrap_or_else(|| {
                 regions.push(Group::new(&host.region));
-            }
+                regions.len() - 1
+            });
+            tiers.resize_with(regions.len(), Default::default);
+            tiers[at][Tier::of(host) as usize].push(Listed::new(host));
         }
-        for group in &mut regions {
-            group.fill(hosts);
+        for (group, tiers) in regions.iter_mut().zip(tiers) {
+            group.tiers = tiers.map(Hosts::new);
         }
         let nearest: Vec<_> = regions.iter().map(|it| nearest(&regions, it, network)).collect();
         for (group, nearest) in regions.iter_mut().zip(nearest) {
@@ -146,13 +151,6 @@
     pub(crate) fn hosts(&self, tier: Tier) -> &Hosts {
         &self.tiers[tier as usize]
     }
-
-    fn fill(&mut self, hosts: &[HostView]) {
-        for tier in Tier::ALL {
-            let own = hosts.iter().filter(|it| it.region == self.region && Tier::of(it) == tier);
-            self.tiers[tier as usize] = Hosts::new(own.map(Listed::new).collect());
-        }
-    }
 }
 
 impl Hosts {
--- a/foxtail-place/src/v4.rs
+++ b/foxtail-place/src/v4.rs
@@ -26,9 +26,9 @@
 struct Chunk {
     /// For each second byte, where its ranges begin; one more entry for the end.
     index: Vec<u32>,
-    /// The lower halves of the starts. The first of each second byte is zero.
-    lower: Vec<u16>,
-    sites: Vec<SiteIndex>,
+    /// The lower halves of the starts, each with its site beside it, so that a look-up touches one
+    /// piece of memory. The first of each second byte is zero.
+    ranges: Vec<(u16, SiteIndex)>,
 }
 
 impl V4 {
@@ -56,15 +56,14 @@
     }
 
     pub(crate) fn ranges(&self) -> usize {
-        self.chunks.iter().map(|chunk| chunk.lower.len()).sum()
+        self.chunks.iter().map(|chunk| chunk.ranges.len()).sum()
     }
 
     pub(crate) fn memory_bytes(&self) -> usize {
         let chunk = |it: &Arc<Chunk>| {
             size_of::<Chunk>()
                 + it.index.capacity() * size_of::<u32>()
-                + it.lower.capacity() * size_of::<u16>()
-                + it.sites.capacity() * size_of::<SiteIndex>()
+                + it.ranges.capacity() * size_of::<(u16, SiteIndex)>()
         };
         self.chunks.iter().map(chunk).sum()
     }
@@ -77,12 +76,10 @@
 
 impl Chunk {
     fn collect(ranges: impl Iterator<Item = Range>) -> Self {
-        let mut out =
-            Self { index: Vec::with_capacity(SECONDS + 1), lower: Vec::new(), sites: Vec::new() };
+        let mut out = Self { index: Vec::with_capacity(SECONDS + 1), ranges: Vec::new() };
         ranges.for_each(|range| out.push(range));
-        out.index.push(out.lower.len() as u32);
-        out.lower.shrink_to_fit();
-        out.sites.shrink_to_fit();
+        out.index.push(out.ranges.len() as u32);
+        out.ranges.shrink_to_fit();
         out
     }
 
@@ -92,21 +89,20 @@
         for at in second(range.start)..=second(range.end) {
             let opens = self.index.len() == usize::from(at);
             if opens {
-                self.index.push(self.lower.len() as u32);
-            } else if self.sites.last() == Some(&range.site) {
+                self.index.push(self.ranges.len() as u32);
+            } else if self.ranges.last().is_some_and(|(_, site)| *site == range.site) {
                 continue;
             }
             let begins = at == second(range.start);
-            self.lower.push(if begins { range.start as u16 } else { 0 });
-            self.sites.push(range.site);
+            self.ranges.push((if begins { range.start as u16 } else { 0 }, range.site));
         }
     }
 
     fn find(&self, second: u8, lower: u16) -> SiteIndex {
         let from = self.index[usize::from(second)] as usize;
         let to = self.index[usize::from(second) + 1] as usize;
-        let after = self.lower[from..to].partition_point(|&start| start <= lower);
-        self.sites[from + after - 1]
+        let ranges = &self.ranges[from..to];
+        ranges[ranges.partition_point(|&(start, _)| start <= lower) - 1].1
     }
 
     fn ranges(&self, first: u64) -> impl Iterator<Item = Range> + '_ {
@@ -115,20 +111,19 @@
             let to = self.index[second + 1] as usize;
             (from..to).map(move |at| {
                 let base = first + ((second as u64) << 16);
-                let next = if at + 1 < to { u64::from(self.lower[at + 1]) } else { 1 << 16 };
-                let start = base + u64::from(self.lower[at]);
-                Range { start, end: base + next - 1, site: self.sites[at] }
+                let (lower, site) = self.ranges[at];
+                let next = if at + 1 < to { u64::from(self.ranges[at + 1].0) } else { 1 << 16 };
+                Range { start: base + u64::from(lower), end: base + next - 1, site }
             })
         })
     }
 
     fn is_sound(&self) -> bool {
         let whole = self.index.len() == SECONDS + 1
-            && self.index.last() == Some(&(self.lower.len() as u32))
-            && self.sites.len() == self.lower.len();
+            && self.index.last() == Some(&(self.ranges.len() as u32));
         whole
             && self.index.windows(2).all(|pair| pair[0] < pair[1])
-            && self.index[..SECONDS].iter().all(|&at| self.lower[at as usize] == 0)
+            && self.index[..SECONDS].iter().all(|&at| self.ranges[at as usize].0 == 0)
     }
 }
 
