--- a/foxtail-once/tests/outage.rs
+++ b/foxtail-once/tests/outage.rs
@@ -36,7 +36,7 @@
     let clock: Arc<dyn Clock> = clock.clone();
     let table: Arc<dyn Table> = Guard::new(Arc::new(local.clone()), Arc::clone(&clock), share);
     let options = commit::Options { seed: Some(i), ..commit::Options::default() };
-    host_over(&format!("h{i}"), table, local, clock, options)
+    host_over(&format!("h{i}"), table, local, clock, options, |group| group)
 }
 
 async fn request(host: Arc<Host>, n: u64) -> Told {
--- a/foxtail-once/tests/support/mod.rs
+++ b/foxtail-once/tests/support/mod.rs
@@ -44,7 +44,8 @@
 
 pub(crate) fn host(name: &str, platform: &Arc<Platform>, clock: Arc<dyn Clock>) -> Host {
     let local = Local::new(Arc::clone(platform));
-    host_over(name, Arc::new(local.clone()), local, clock, commit::Options::default())
+    let table = Arc::new(local.clone());
+    host_over(name, table, local, clock, commit::Options::default(), |group| group)
 }
 
 pub(crate) fn host_over(
@@ -53,9 +54,10 @@
     local: Local,
     clock: Arc<dyn Clock>,
     options: commit::Options,
+    commit: impl FnOnce(Arc<Group>) -> Arc<dyn Commit>,
 ) -> Host {
     let group = Group::start(Arc::clone(&table), Arc::clone(&clock), options);
-    let commit = Arc::clone(&group) as Arc<dyn Commit>;
+    let commit = commit(Arc::clone(&group));
     let objects = Arc::new(local);
     let ports = claims::Ports { clock: Arc::clone(&clock), table, objects, commit };
     let me = HostId::new(name).unwrap();
--- a/foxtail-once/tests/support/world.rs
+++ b/foxtail-once/tests/support/world.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use foxtail_once::{Answer, Begin, Gate, commit};
+use foxtail_once::commit::Done;
+use foxtail_once::relay::{Peers, msg, serve};
+use foxtail_once::{Answer, Begin, Commit, Gate, Group, Relay, commit};
 use foxtail_platform::Table;
 use foxtail_platform::table::{Error, Options, Outcome, Row, Txn};
 use foxtail_standin::platform::{Down, Local, Platform};
@@ -21,6 +23,9 @@
 pub(crate) const HOSTS: usize = 3;
 pub(crate) const KEYS: usize = 4;
 
+/// The host that gathers the writes of the others.
+const RELAY: usize = 1;
+
 /// One step; indices are taken modulo what there is.
 #[derive(Clone, Debug)]
 pub(crate) enum Step {
@@ -111,6 +116,20 @@
     }
 }
 
+/// The hosts' committers, as other hosts reach them.
+type Groups = Arc<Mutex<HashMap<usize, Arc<Group>>>>;
+
+struct Neighbours(Groups);
+
+#[async_trait]
+impl Peers for Neighbours {
+    async fn commit(&self, to: &HostId, relayed: msg::Relayed, timeout: Millis) -> Option<Done> {
+        let found = self.0.lock().iter().find(|(i, _)| host_id(**i) == *to).map(|at| at.1.clone());
+        let group = found?;
+        tokio::time::timeout(timeout.duration(), serve(&*group, relayed)).await.ok()
+    }
+}
+
 struct Node {
     gate: Arc<dyn Gate>,
     _host: Option<Host>,
@@ -170,6 +189,7 @@
     /// Answered keys, with the host and its life that has the answer.
     answered: HashMap<usize, (usize, usize)>,
     lives: usize,
+    groups: Groups,
 }
 
 impl World {
@@ -195,6 +215,7 @@
             runs: HashMap::new(),
             answered: HashMap::new(),
             lives: 0,
+            groups: Groups::default(),
         };
         for i in 0..HOSTS {
             let node = world.node(i);
@@ -216,7 +237,14 @@
         } else {
             let options =
                 commit::Options { seed: Some(self.lives as u64), ..commit::Options::default() };
-            let host = host_over(&format!("h{i}"), table, local, clock, options);
+            let peers = Arc::new(Neighbours(Arc::clone(&self.groups)));
+            let relayed = |own: Arc<Group>| -> Arc<dyn Commit> {
+                self.groups.lock().insert(i, Arc::clone(&own));
+                let relay = Relay::new(peers, own, Arc::clone(&self.clock));
+                relay.set_target((i != RELAY).then(|| host_id(RELAY)));
+                relay
+            };
+            let host = host_over(host_id(i).as_str(), table, local, clock, options, relayed);
             (Arc::clone(&host.claims) as Arc<dyn Gate>, Some(host))
         };
         Node { gate, _host: host, paused, life: self.lives, asking: Vec::new() }
@@ -432,6 +460,10 @@
     }
 }
 
+fn host_id(i: usize) -> HostId {
+    HostId::new(&format!("h{i}")).unwrap()
+}
+
 /// What the upstream answered to the sending that ran.
 fn answer_of(k: usize, sending: usize) -> Answer {
     let body = vec![k as u8, sending as u8];
