--- a/foxtail-sync/tests/operators.rs
+++ b/foxtail-sync/tests/operators.rs
@@ -44,7 +44,7 @@
             }
             "create" => {
                 let done = admin.workspace_apply(&op, &common::input(), "").await?;
-                Ok(format!("version {}", done.version))
+                Ok(format!("version {}, changed {}", done.version, done.changed))
             }
             "show" => {
                 let input = admin.workspace_show(&id()).await?;
