--- a/foxtail-config/src/plan.rs
+++ b/foxtail-config/src/plan.rs
@@ -70,7 +70,7 @@
     Ok(Plan { changes, before, after, refused })
 }
 
-/// Plans a change of the network to `new`.
+/// Plans a change of the network to `new`: the effect alone, without the fields that change.
 pub fn network(site: &Site<'_>, new: &Network) -> Plan {
     let before = assess(site);
     let after = assess(&Site { network: new, ..site.clone() });
@@ -82,8 +82,7 @@
         });
     }
     refused.extend(site.loads.iter().flat_map(|load| homeless(load, new)));
-    let changes = diff::diff(Some(site.network), Some(new));
-    Plan { changes, before, after, refused }
+    Plan { changes: Vec::new(), before, after, refused }
 }
 
 /// Plans the start of a drain of `target`.
--- a/foxtail-sync/src/admin.rs
+++ b/foxtail-sync/src/admin.rs
@@ -12,6 +12,7 @@
 
 use std::sync::Arc;
 
+use foxtail_member::Member;
 use foxtail_platform::Table;
 use foxtail_types::prelude::*;
 
@@ -40,12 +41,14 @@
         Self { table, clock, roster, spread }
     }
 
-    /// Where `version` is in force, as this host knows.
+    /// Where `version` is in force, as this host knows. A host that said that it leaves and fell
+    /// silent has stopped, and does not count.
     pub fn in_force(&self, version: Version) -> InForce {
         let view = self.roster.view();
         let held = self.spread.held();
         let mut out = InForce { version, ..InForce::default() };
-        for host in &view.hosts {
+        let stopped = |host: &&Member| host.suspect && host.leaving;
+        for host in view.hosts.iter().filter(|host| !stopped(host)) {
             let id = host.identity.id.clone();
             let theirs = if id == view.me { held } else { host.status.version };
             match (theirs >= version, host.suspect) {
--- a/foxtail-sync/src/admin/network.rs
+++ b/foxtail-sync/src/admin/network.rs
@@ -91,11 +91,12 @@
 fn plan_network(loaded: &Loaded, params: &NetworkParams) -> Result<Plan, Error> {
     let new = compile::network(params)?;
     let Some(old) = &loaded.network else {
-        let changes = diff::diff(None, Some(&new));
+        let changes = diff::diff(None, Some(params));
         return Ok(Plan { changes, ..Plan::default() });
     };
     let demands = demands(loaded, None);
     let drains = &loaded.drains.drains;
     let site = Site { network: &old.network, loads: loads(&demands), drains };
-    Ok(plan::network(&site, &new))
+    let changes = diff::diff(Some(&old.params), Some(params));
+    Ok(Plan { changes, ..plan::network(&site, &new) })
 }
--- a/foxtailctl/src/output.rs
+++ b/foxtailctl/src/output.rs
@@ -89,10 +89,7 @@
         }
         for entry in entries {
             let HistoryEntry { version, global, at, operator, note } = entry;
-            println!(
-                "version {version}  global {global}  at {}  by {operator}  {note}",
-                at.0 / 1_000
-            );
+            println!("version {version}  global {global}  at {}  by {operator}  {note}", time(*at));
         }
     }
 
