--- a/foxtail-limit/src/owner/mod.rs
+++ b/foxtail-limit/src/owner/mod.rs
@@ -191,6 +191,7 @@
 
     /// Former owners have stopped for good: their reserves end with the life of a ticket.
     pub fn former_gone(&mut self, now: Millis) {
+        self.unwithhold(now);
         if let Start::Unknown { since, reserve: true } = self.start {
             let since = if since == Millis::MAX { now } else { since.max(now) };
             self.start = Start::Unknown { since, reserve: false };
@@ -266,7 +267,7 @@
         bytes: u64,
         patience: Millis,
     ) -> Reply {
-        if self.authority(now) != Authority::Full {
+        if self.authority(now) != Authority::Full || self.disputed() {
             return Reply::NotOwner { owner: None };
         }
         let Some(budget) = self.links.get_mut(link) else {
@@ -280,7 +281,7 @@
 
     /// Takes one request out of a shift budget.
     pub fn reserve_shift(&mut self, now: Millis, workspace: &WorkspaceId) -> Reply {
-        if self.authority(now) != Authority::Full {
+        if self.authority(now) != Authority::Full || self.disputed() {
             return Reply::NotOwner { owner: None };
         }
         let budget = self.shifts.get_mut(workspace);
@@ -323,6 +324,11 @@
         self.pools.iter().map(move |(id, pool)| (id, pool.usage(now)))
     }
 
+    /// Whether a former owner may go on by promises of which this owner has not heard.
+    fn disputed(&self) -> bool {
+        matches!(self.start, Start::Unknown { since: Millis::MAX, .. })
+    }
+
     fn note(&mut self, now: Millis, note: Note) {
         match note {
             Note::Release { pool, epoch, serial, seen } => {
--- a/foxtail-limit/src/station/term.rs
+++ b/foxtail-limit/src/station/term.rs
@@ -126,13 +126,13 @@
     fn start_term_if_won(&mut self, now: Millis, shard: &ShardId, cx: Parts<'_>) {
         let Some(lease) = self.leases.get(shard) else { return };
         let Some(epoch) = lease.own_epoch().filter(|_| now < lease.until()) else { return };
-        if self.terms.contains_key(shard) || self.stopping {
+        if self.terms.contains_key(shard) || self.retired {
             return;
         }
         let claim = self.claimed.remove(shard).filter(|(claimed, _)| *claimed == epoch);
         let claim = claim.map(|(_, claim)| claim);
         let book = self.books.remove(shard).filter(|book| book.epoch == epoch);
-        let Legacy { formers, lives } = lease.legacy();
+        let Legacy { mut formers, lives } = lease.legacy();
         let start = start(now, claim, book.as_ref().map(|book| book.complete), &formers);
         tracing::info!(event = "owner-starts", %shard, %epoch, ?claim, ?start);
         let mut owner = Owner::new(shard.clone(), epoch, start, self.pick.clone());
@@ -142,6 +142,11 @@
             let age = now - book.at;
             owner.adopt(now, &aged(book.held, age));
         }
+        let mine = formers.contains(&self.me.host);
+        formers.retain(|former| *former != self.me.host);
+        if mine && formers.is_empty() {
+            owner.former_gone(now);
+        }
         let own = cx.holder.fence(now, shard, epoch, &self.me.host).unwrap_or_default();
         owner.adopt(now, &own);
         cx.hosted.install(owner);
@@ -166,16 +171,12 @@
 
     /// A former owner that the platform does not list any more can't give out its reserve.
     fn forget_gone_formers(&mut self, now: Millis, shard: &ShardId, cx: Parts<'_>) {
-        let lone = self.kin().next().is_none() && !self.hosts.is_empty();
         let listed = |former: &HostId| self.hosts.iter().any(|host| host.id == *former);
         let any_listed = self.terms.get(shard).is_some_and(|term| term.formers.iter().any(listed));
+        let former = self.terms.get(shard).and_then(|term| term.former.as_ref());
+        let nobody_else = !self.hosts.is_empty() && self.kin().all(|host| Some(host) == former);
         let Some(term) = self.terms.get_mut(shard) else { return };
-        let only_former = self.hosts.iter().all(|host| {
-            host.id == self.me.host
-                || host.region != self.me.region
-                || term.former.as_ref() == Some(&host.id)
-        });
-        let undisputed = term.kin_replied || lone || (only_former && !self.hosts.is_empty());
+        let undisputed = term.kin_replied || nobody_else;
         if term.lapsed && undisputed {
             term.lapsed = false;
             let since = now.max(term.withheld_until);
@@ -205,10 +206,11 @@
     fn fence(&mut self, now: Millis, shard: &ShardId, actions: &mut Vec<(OpId, Action)>) {
         let listed: BTreeSet<HostId> = self.others().cloned().collect();
         let Some(term) = self.terms.get_mut(shard) else { return };
-        if now < term.next_fence || term.unanswered.is_empty() {
+        if now < term.next_fence {
             return;
         }
         term.next_fence = now + FENCE_AGAIN;
+        term.unanswered.extend(term.formers.iter().cloned());
         term.unanswered.retain(|host| listed.contains(host));
         let epoch = term.epoch;
         for to in term.unanswered.clone() {
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -146,15 +146,17 @@
     pub async fn stop(mut self, options: stop::Options) -> stop::Report {
         let started = self.state.clock.now();
         tracing::info!(event = "host_leaving", host = %self.state.settings.host);
+        self.state.owners.retire();
         self.state.leaving.store(true, Ordering::SeqCst);
         members::announce(&self.state).await;
-        self.stop_owning.cancel();
         tokio::time::sleep(options.settle.duration()).await;
         self.stop_callers.cancel();
         let cut_off = self.finish(options.finish).await;
+        self.stop_owning.cancel();
         self.state.keys.stop().await;
         let took = self.state.clock.now().since(started);
         self.state.metrics.drained("host", took);
+        self.stop_owning.cancel();
         while self.owning.join_next().await.is_some() {}
         self.stop_control.cancel();
         while self.control.join_next().await.is_some() {}
@@ -250,7 +252,13 @@
         clock: Arc::clone(&ports.clock),
     });
     let owners = limits::limiter(&settings, &fleet, &ports.clock);
-    let keys = Keys::start(&fleet, &platform.guard, &platform.objects, &ports.clock);
+    let keys = Keys::start(
+        &fleet,
+        &platform.guard,
+        &platform.objects,
+        &ports.clock,
+        settings.store_region.clone(),
+    );
     let watch = Watch::new(
         settings.host.clone(),
         Arc::clone(&ports.clock),
--- a/foxtail-standin/src/upstream/options.rs
+++ b/foxtail-standin/src/upstream/options.rs
@@ -16,7 +16,7 @@
     pub queue_max: u32,
     /// How long a request runs.
     pub service_time: ServiceTime,
-    /// How much slower it is after a start.
+    /// How much slower it is after a restart; the first start finds it warm.
     pub cold: Cold,
     /// How long a new connection takes to be set up.
     pub connect: Millis,
