--- a/foxtail-sync/tests/operators.rs
+++ b/foxtail-sync/tests/operators.rs
@@ -79,9 +79,9 @@
             }
             "drain" => {
                 let target = target(case);
-                let done = match arg(case, "stop") {
-                    None => admin.drain_start(&op, &target).await?,
-                    Some(_) => admin.drain_stop(&op, &target).await?,
+                let done = match case.args.contains_key("stop") {
+                    false => admin.drain_start(&op, &target).await?,
+                    true => admin.drain_stop(&op, &target).await?,
                 };
                 Ok(format!("version {}, changed {}", done.version, done.changed))
             }
