fix(config): a server can be in one workspace only

Cause: a test of two workspaces made at once had the same servers in both, and both were accepted: each pool would have granted the server's slots. Change: the plan refuses it and names the other workspace.

--- a/foxtail-config/src/plan.rs
+++ b/foxtail-config/src/plan.rs
@@ -1,11 +1,15 @@
 //! Plans: what a change does, and whether it is allowed.
 
+use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 
 use foxtail_types::prelude::*;
 
 use crate::headroom::{Load, Overload, Site, assess};
-use crate::{Difference, Drain, DrainTarget, Headroom, Limit, Network, Params, Template};
+use crate::{
+    Difference, Drain, DrainTarget, Headroom, Limit, Network, Params, Template, Workspace,
+};
 use crate::{compile, diff};
 
 /// What a change would do.
@@ -57,7 +61,7 @@
 ///
 /// [`compile::Error`] if the parameters are not accepted as they stand.
 pub fn workspace(site: &Site<'_>, change: &Change<'_>) -> Result<Plan, compile::Error> {
-    compile::workspace(change.template, change.new, site.network)?;
+    let new = compile::workspace(change.template, change.new, site.network)?;
     let before = match change.old {
         Some((template, params)) => with(site, template, params).unwrap_or_default(),
         None => assess(site),
@@ -65,7 +69,8 @@
     let after = with(site, change.template, change.new).unwrap_or_default();
     let worse = worse(&before, &after);
     let accepted = if worse.is_empty() { None } else { nearest_accepted(site, change, &before) };
-    let refused = worse.iter().map(|overload| refusal(overload, accepted.clone())).collect();
+    let refused = worse.iter().map(|overload| refusal(overload, accepted.clone()));
+    let refused = refused.chain(shared(site, &new)).collect();
     let changes = diff::diff(change.old.map(|(_, params)| params), Some(change.new));
     Ok(Plan { changes, before, after, refused })
 }
@@ -112,6 +117,25 @@
     Refusal { reason: overload.reason.clone(), accepted }
 }
 
+/// A server in two workspaces would be given its slots twice over.
+fn shared(site: &Site<'_>, new: &Workspace) -> Option<Refusal> {
+    let upstreams = |workspace: &'_ Workspace| -> BTreeMap<SocketAddr, ServiceId> {
+        let services = workspace.services.iter();
+        let pairs = services.flat_map(|s| s.upstreams.iter().map(|u| (u.addr, s.id.clone())));
+        pairs.collect()
+    };
+    let own = upstreams(new);
+    site.loads.iter().find_map(|load| {
+        let theirs = upstreams(load.workspace);
+        let (addr, service) = own.iter().find(|(addr, _)| theirs.contains_key(*addr))?;
+        let other = &load.workspace.id;
+        Some(Refusal {
+            reason: format!("services.{service}.servers: {addr} is a server of workspace {other}"),
+            accepted: Some("servers that are in no other workspace".to_owned()),
+        })
+    })
+}
+
 fn with(site: &Site<'_>, template: &Template, params: &Params) -> Option<Headroom> {
     let workspace = compile::workspace(template, params, site.network).ok()?;
     let demand = compile::demand(template, params);
