fix(retry): a break in a trial counts as a crash where the upstream's port stays open

Cause: an upstream that is back before the trial connection, for example under a supervisor that holds its port, leaves only weak evidence, and three of them convict. Seen in the fleet: 3 upstreams went down by one request. Change: in a trial the suspect runs alone, so that a break speaks against it, unless several other upstreams broke as well. The stand-in closes its listener before the connections, as a dying process does, or keeps it if it restarts at once.

--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use foxtail_platform::{HostEntry, HostState};
 use foxtail_standin::net::{Fabric, Options as NetOptions, Place};
 use foxtail_standin::platform::{Options as PlatformOptions, Platform, Server as PlatformServer};
-use foxtail_standin::upstream::Audit;
+use foxtail_standin::upstream::{Audit, Options as UpstreamOptions};
 use foxtail_time::BootClock;
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
@@ -51,6 +51,19 @@
     ///
     /// Whatever part does not start.
     pub async fn start(shape: Shape, seed: u64) -> Result<Self> {
+        Self::start_with(shape, seed, &|_| {}).await
+    }
+
+    /// Like [`start`](Self::start), with upstreams that `tune` changes.
+    ///
+    /// # Errors
+    ///
+    /// Whatever part does not start.
+    pub async fn start_with(
+        shape: Shape,
+        seed: u64,
+        tune: &(dyn Fn(&mut UpstreamOptions) + Sync),
+    ) -> Result<Self> {
         let options = NetOptions {
             zone_round_trip: ZONE_ROUND_TRIP,
             client_round_trip: shape.client_round_trip,
@@ -59,7 +72,7 @@
         let platform = PlatformServer::start(Platform::new(&PlatformOptions::default())).await?;
         let store = Place::zone(shape.region(0), shape.zone(0, 0));
         fabric.register(platform.addr(), store);
-        let upstreams = Upstreams::start(&shape, &fabric, seed).await?;
+        let upstreams = Upstreams::start(&shape, &fabric, seed, tune).await?;
         let operator = Operator::new(Arc::clone(platform.platform()));
         operator.configure(&shape, &upstreams.addrs()).await?;
         let fleet = Self { shape, fabric, platform, upstreams, operator, hosts: Mutex::default() };
--- a/foxtail-lab/src/fleet/upstreams.rs
+++ b/foxtail-lab/src/fleet/upstreams.rs
@@ -27,12 +27,17 @@
 }
 
 impl Upstreams {
-    /// Starts the upstreams of every service, zone by zone.
+    /// Starts the upstreams of every service, zone by zone, as `tune` changes them.
     ///
     /// # Errors
     ///
     /// If no port can be had.
-    pub async fn start(shape: &Shape, fabric: &Fabric, seed: u64) -> Result<Self> {
+    pub async fn start(
+        shape: &Shape,
+        fabric: &Fabric,
+        seed: u64,
+        tune: &(dyn Fn(&mut Options) + Sync),
+    ) -> Result<Self> {
         let audit = Arc::new(Audit::default());
         let mut servers = Vec::new();
         for service in &shape.services {
@@ -42,7 +47,8 @@
                     let id = UpstreamId::new(&format!("{}-{zone}-{n}", service.name))?;
                     let service_time = ServiceTime { mean: service.mean, sigma: SERVICE_SIGMA };
                     let seed = seed ^ servers.len() as u64;
-                    let options = Options::new(id, region.clone(), service_time, seed);
+                    let mut options = Options::new(id, region.clone(), service_time, seed);
+                    tune(&mut options);
                     let server = Server::start(options, Arc::clone(&audit)).await?;
                     fabric.register(server.addr(), Place::zone(region, zone));
                     servers.push(Placed { server, zone: zone.clone() });
--- a/foxtail-lab/tests/fleet.rs
+++ b/foxtail-lab/tests/fleet.rs
@@ -9,6 +9,7 @@
 use foxtail_lab::shape::{Shape, tali_selamat};
 use foxtail_net::http::{Options as HttpOptions, client};
 use foxtail_standin::net::{Cut, Place};
+use foxtail_standin::upstream::Options;
 use foxtail_types::prelude::*;
 
 const SEED: u64 = 3;
@@ -66,9 +67,20 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_crashing_request_that_is_sent_again_brings_down_at_most_two_upstreams() {
+    crashing_request(Millis::secs(2)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_brings_down_at_most_two_upstreams_that_restart_at_once() {
+    crashing_request(Millis::ZERO).await;
+}
+
+/// Sends one request that crashes every upstream, which takes `restart`, again and again.
+async fn crashing_request(restart: Millis) {
     const CRASHES_MAX: u32 = 2;
     const ASKS: usize = 8;
-    let fleet = Fleet::start(small(), SEED).await.unwrap();
+    let tune = move |options: &mut Options| options.restart = restart;
+    let fleet = Fleet::start_with(small(), SEED, &tune).await.unwrap();
     let region = fleet.shape().region(0).clone();
     let http = client(fleet.fabric().dial_from(Place::client(&region)), &HttpOptions::default());
     let poison = call(&fleet, "/certificates/7?poison&work=50", 0);
--- a/foxtail-node/src/serve/run.rs
+++ b/foxtail-node/src/serve/run.rs
@@ -97,7 +97,8 @@
         self.state.limiter.release(ticket, seen);
         let (state, addr) = (Arc::clone(&self.state), self.addr);
         Some(Box::pin(async move {
-            let ended = ended(&state, &upstream, addr, verdict).await;
+            let trial = permit.is_trial();
+            let ended = ended(&state, &upstream, addr, trial, verdict).await;
             state.watch.finish(permit, ended).await;
         }))
     }
@@ -110,7 +111,13 @@
 }
 
 /// What the attempt tells about crashes.
-async fn ended(state: &State, upstream: &UpstreamId, addr: SocketAddr, verdict: Verdict) -> Ended {
+async fn ended(
+    state: &State,
+    upstream: &UpstreamId,
+    addr: SocketAddr,
+    trial: bool,
+    verdict: Verdict,
+) -> Ended {
     let now = state.clock.now();
     match verdict {
         Verdict::Answered | Verdict::ServerError => Ended::Answered,
@@ -121,7 +128,7 @@
         Verdict::Broken => {
             state.crashes.broke(upstream, now);
             let probe = probe(state, addr).await;
-            Ended::Broke(state.crashes.evidence(upstream, probe, state.clock.now()))
+            Ended::Broke(state.crashes.evidence(upstream, probe, trial, state.clock.now()))
         }
         Verdict::Shed | Verdict::Leaving | Verdict::TimedOut | Verdict::Cancelled => Ended::Nothing,
     }
--- a/foxtail-retry/src/crash.rs
+++ b/foxtail-retry/src/crash.rs
@@ -1,9 +1,9 @@
 //! Tells a crash of an upstream from a lone broken connection.
 //!
 //! A connection broke before a whole answer. It is evidence of a crash if a new connection to the
-//! same upstream is refused, or if another connection to it broke within [`WINDOW`]. It is weaker
-//! evidence if neither holds, or if connections to several other upstreams broke as well: then the
-//! network is to blame.
+//! same upstream is refused, or if another connection to it broke within [`WINDOW`], or if a suspect
+//! ran alone on it. It is weaker evidence if none of these holds, or if connections to several other
+//! upstreams broke as well: then the network is to blame.
 
 use std::collections::HashMap;
 
@@ -59,8 +59,15 @@
     }
 
     /// How strong the evidence is, after [`Detector::broke`] and a trial connection that ended
-    /// with `probe`.
-    pub fn evidence(&self, upstream: &UpstreamId, probe: Probe, now: Millis) -> Evidence {
+    /// with `probe`. In a `trial` a suspect ran alone: there is nothing else to blame but it and the
+    /// network, also where the upstream is back before the trial connection.
+    pub fn evidence(
+        &self,
+        upstream: &UpstreamId,
+        probe: Probe,
+        trial: bool,
+        now: Millis,
+    ) -> Evidence {
         if probe == Probe::Refused {
             self.refused(upstream, now);
             return Evidence::Crash;
@@ -72,7 +79,7 @@
             return Evidence::Break;
         }
         let signs = all.get(upstream).copied().unwrap_or_default();
-        match near(signs.break_before) || near(signs.refused) {
+        match trial || near(signs.break_before) || near(signs.refused) {
             true => Evidence::Crash,
             false => Evidence::Break,
         }
--- a/foxtail-retry/src/watch.rs
+++ b/foxtail-retry/src/watch.rs
@@ -123,6 +123,11 @@
             Way::Trial(_) => "trial",
         }
     }
+
+    /// Whether the attempt runs alone, as a suspect.
+    pub fn is_trial(&self) -> bool {
+        matches!(self.way, Way::Trial(_))
+    }
 }
 
 impl Watch {
--- a/foxtail-standin/src/upstream/options.rs
+++ b/foxtail-standin/src/upstream/options.rs
@@ -26,7 +26,8 @@
     pub report_lag: Millis,
     /// How long it still takes new work after it was told to leave.
     pub drain_grace: Millis,
-    /// How long it refuses connections after a crash.
+    /// How long it refuses connections after a crash; with zero its port stays open, as under a
+    /// supervisor that holds it.
     pub restart: Millis,
     /// The seed of its service times.
     pub seed: u64,
--- a/foxtail-standin/src/upstream/server.rs
+++ b/foxtail-standin/src/upstream/server.rs
@@ -30,7 +30,8 @@
 
 /// Why a run of the server ended.
 enum Ended {
-    Crashed,
+    /// With the listener, if the port stays open.
+    Crashed(Option<TcpListener>),
     Stopped,
 }
 
@@ -93,21 +94,23 @@
     stop: CancellationToken,
 ) {
     let mut listener = listener;
-    while let Ended::Crashed = run(&state, listener, &stop).await {
-        tokio::select! {
-            () = sleep(state.options.restart.duration()) => {}
-            () = stop.cancelled() => return,
-        }
+    while let Ended::Crashed(kept) = run(&state, listener, &stop).await {
+        listener = match kept {
+            Some(kept) => kept,
+            None => tokio::select! {
+                () = stop.cancelled() => return,
+                rebound = rebind(addr, state.options.restart) => rebound,
+            },
+        };
         state.restart();
-        listener = rebind(addr).await;
     }
 }
 
-/// Serves connections until a crash or the stop. The listener is closed at the end.
+/// Serves connections until a crash or the stop.
 async fn run(state: &Arc<State>, listener: TcpListener, stop: &CancellationToken) -> Ended {
     let crash = state.crash_token();
     let mut conns = JoinSet::new();
-    let ended = loop {
+    let crashed = loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted
@@ -117,12 +120,15 @@
                 }
             }
             Some(_) = conns.join_next() => {}
-            () = crash.cancelled() => break Ended::Crashed,
-            () = stop.cancelled() => break Ended::Stopped,
+            () = crash.cancelled() => break true,
+            () = stop.cancelled() => break false,
         }
     };
+    let keeps = crashed && state.options.restart == Millis::ZERO;
+    // As when a process dies: no connection breaks while new ones are still taken.
+    let kept = keeps.then_some(listener);
     conns.shutdown().await;
-    ended
+    if crashed { Ended::Crashed(kept) } else { Ended::Stopped }
 }
 
 async fn connection(state: Arc<State>, stream: TcpStream) {
@@ -134,7 +140,8 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-async fn rebind(addr: SocketAddr) -> TcpListener {
+async fn rebind(addr: SocketAddr, after: Millis) -> TcpListener {
+    sleep(after.duration()).await;
     loop {
         match TcpListener::bind(addr).await {
             Ok(listener) => return listener,
