--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -120,6 +120,11 @@
         hosts.iter().filter(|host| host.node.is_some()).map(|host| host.entry.caller).collect()
     }
 
+    /// Where the platform listens.
+    pub fn platform_addr(&self) -> SocketAddr {
+        self.platform.addr()
+    }
+
     /// Where operators reach the hosts that were not stopped.
     pub fn operators(&self) -> Vec<SocketAddr> {
         let hosts = self.hosts.lock();
@@ -207,6 +212,7 @@
             peer: any,
             operator: any,
             platform: vec![self.platform.addr()],
+            store_region: None,
             seeds: Vec::new(),
             operators: vec![Credential {
                 name: "lab".to_owned(),
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -146,6 +146,7 @@
     pub async fn stop(mut self, options: stop::Options) -> stop::Report {
         let started = self.state.clock.now();
         tracing::info!(event = "host_leaving", host = %self.state.settings.host);
+        self.state.owners.retire();
         self.state.leaving.store(true, Ordering::SeqCst);
         members::announce(&self.state).await;
         tokio::time::sleep(options.settle.duration()).await;
@@ -251,7 +252,13 @@
         clock: Arc::clone(&ports.clock),
     });
     let owners = limits::limiter(&settings, &fleet, &ports.clock);
-    let keys = Keys::start(&fleet, &platform.guard, &platform.objects, &ports.clock);
+    let keys = Keys::start(
+        &fleet,
+        &platform.guard,
+        &platform.objects,
+        &ports.clock,
+        settings.store_region.clone(),
+    );
     let watch = Watch::new(
         settings.host.clone(),
         Arc::clone(&ports.clock),
