--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -136,6 +136,13 @@
         self.hosts.lock().iter().filter_map(|host| Some(host.node.as_ref()?.config())).collect()
     }
 
+    /// The bytes of control traffic so far: between hosts, and with the platform.
+    pub fn control_bytes(&self) -> (u64, u64) {
+        let hosts = self.hosts.lock();
+        let peers = hosts.iter().map(|host| self.fabric.bytes_to(host.entry.peer)).sum();
+        (peers, self.fabric.bytes_to(self.platform.addr()))
+    }
+
     /// Starts a drain; returns when it was accepted, by the boot clock.
     ///
     /// # Errors
--- a/foxtail-standin/src/net/dial.rs
+++ b/foxtail-standin/src/net/dial.rs
@@ -28,8 +28,9 @@
 impl Dial for PlaceDial {
     async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
         let there = self.fabric.place_of(to).unwrap_or_else(|| self.place.clone());
-        let out = self.fabric.way(&self.place, &there);
-        let back = self.fabric.way(&there, &self.place);
+        let bytes = self.fabric.counter(to);
+        let out = self.fabric.way(&self.place, &there, Arc::clone(&bytes));
+        let back = self.fabric.way(&there, &self.place, bytes);
         pass(&out).await?;
         let far = TcpDial.dial(to).await?;
         pass(&back).await?;
--- a/foxtail-standin/src/net/fabric.rs
+++ b/foxtail-standin/src/net/fabric.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use foxtail_config::spec::Network;
@@ -49,6 +50,7 @@
     links: HashMap<(RegionId, RegionId), Arc<Link>>,
     delays: HashMap<(RegionId, RegionId), Duration>,
     places: RwLock<HashMap<SocketAddr, Place>>,
+    counted: RwLock<HashMap<SocketAddr, Arc<AtomicU64>>>,
     pub(crate) tasks: TaskTracker,
     pub(crate) stop: CancellationToken,
 }
@@ -58,6 +60,7 @@
 pub(crate) struct Way {
     pub(crate) delay: Duration,
     pub(crate) link: Option<Arc<Link>>,
+    pub(crate) bytes: Arc<AtomicU64>,
 }
 
 impl Place {
@@ -87,6 +90,7 @@
             links,
             delays,
             places: RwLock::default(),
+            counted: RwLock::default(),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
         })
@@ -98,6 +102,11 @@
         self.places.write().insert(addr, place);
     }
 
+    /// The bytes sent so far in both directions on connections to `addr`.
+    pub fn bytes_to(&self, addr: SocketAddr) -> u64 {
+        self.counted.read().get(&addr).map_or(0, |bytes| bytes.load(Ordering::Relaxed))
+    }
+
     /// Connections from `place`.
     pub fn dial_from(self: &Arc<Self>, place: Place) -> Arc<dyn Dial> {
         Arc::new(PlaceDial::new(Arc::clone(self), place))
@@ -132,11 +141,15 @@
         self.tasks.wait().await;
     }
 
+    pub(crate) fn counter(&self, addr: SocketAddr) -> Arc<AtomicU64> {
+        Arc::clone(self.counted.write().entry(addr).or_default())
+    }
+
     pub(crate) fn place_of(&self, addr: SocketAddr) -> Option<Place> {
         self.places.read().get(&addr).cloned()
     }
 
-    pub(crate) fn way(&self, from: &Place, to: &Place) -> Way {
+    pub(crate) fn way(&self, from: &Place, to: &Place, bytes: Arc<AtomicU64>) -> Way {
         let ends = (from.region.clone(), to.region.clone());
         let between_regions = self.delays.get(&ends).copied().unwrap_or_default();
         let near = match (&from.zone, &to.zone) {
@@ -144,6 +157,7 @@
             (Some(_), Some(_)) => self.options.zone_round_trip,
             _ => self.options.client_round_trip,
         };
-        Way { delay: between_regions + near.duration() / 2, link: self.links.get(&ends).cloned() }
+        let link = self.links.get(&ends).cloned();
+        Way { delay: between_regions + near.duration() / 2, link, bytes }
     }
 }
--- a/foxtail-standin/src/net/pump.rs
+++ b/foxtail-standin/src/net/pump.rs
@@ -1,6 +1,7 @@
 //! Moves the bytes of one connection, each after its delay.
 
 use std::io;
+use std::sync::atomic::Ordering;
 
 use bytes::{Bytes, BytesMut};
 use foxtail_net::Stream;
@@ -58,6 +59,7 @@
     loop {
         let mut buf = BytesMut::with_capacity(CHUNK_BYTES);
         let n = from.read_buf(&mut buf).await?;
+        way.bytes.fetch_add(n as u64, Ordering::Relaxed);
         let sent = way.link.as_ref().map_or_else(Instant::now, |link| link.send(n));
         if tx.send((sent + way.delay, buf.freeze())).await.is_err() || n == 0 {
             return Ok(());
