--- a/foxtail-retry/tests/record.rs
+++ b/foxtail-retry/tests/record.rs
@@ -84,15 +84,19 @@
     let now = Millis::secs(100);
     let refused = Detector::default();
     refused.broke(&id(0), now);
-    assert_eq!(refused.evidence(&id(0), Probe::Refused, now), Evidence::Crash);
+    assert_eq!(refused.evidence(&id(0), Probe::Refused, false, now), Evidence::Crash);
     let lone = Detector::default();
     lone.broke(&id(0), now - Millis::secs(2));
     lone.broke(&id(0), now);
-    assert_eq!(lone.evidence(&id(0), Probe::Accepted, now), Evidence::Break);
-    assert_eq!(lone.evidence(&id(0), Probe::TimedOut, now), Evidence::Break);
+    assert_eq!(lone.evidence(&id(0), Probe::Accepted, false, now), Evidence::Break);
+    assert_eq!(lone.evidence(&id(0), Probe::TimedOut, false, now), Evidence::Break);
     lone.broke(&id(0), now + Millis(10));
-    assert_eq!(lone.evidence(&id(0), Probe::Accepted, now + Millis(10)), Evidence::Crash);
+    assert_eq!(lone.evidence(&id(0), Probe::Accepted, false, now + Millis(10)), Evidence::Crash);
     lone.broke(&id(1), now + Millis(20));
     lone.broke(&id(2), now + Millis(20));
-    assert_eq!(lone.evidence(&id(0), Probe::Accepted, now + Millis(20)), Evidence::Break);
+    assert_eq!(lone.evidence(&id(0), Probe::Accepted, false, now + Millis(20)), Evidence::Break);
+    assert_eq!(lone.evidence(&id(0), Probe::Accepted, true, now + Millis(20)), Evidence::Break);
+    let trial = Detector::default();
+    trial.broke(&id(0), now);
+    assert_eq!(trial.evidence(&id(0), Probe::Accepted, true, now), Evidence::Crash);
 }
