--- a/foxtail-place/src/v6.rs
+++ b/foxtail-place/src/v6.rs
@@ -1,4 +1,4 @@
-//! The tables for IPv6: chunks of a few thousand ranges, by the upper 64 bits of an address.
+//! The tables for IPv6: chunks of neighbouring ranges, by the upper 64 bits of an address.
 
 use std::net::Ipv6Addr;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use crate::ranges::{Range, clip, overlay};
 
 /// The most ranges of a chunk.
-const CHUNK_RANGES: usize = 4_096;
+const CHUNK_RANGES: usize = 256;
 
 /// All IPv6 addresses.
 #[value]
