--- a/foxtail-limit/tests/live.rs
+++ b/foxtail-limit/tests/live.rs
@@ -9,6 +9,7 @@
 use common::{MemTable, Mesh, RuntimeClock};
 use foxtail_limit::owner::MostFree;
 use foxtail_limit::{Acquire, Limiter, Me, Refusal, Seen, SharedLimiter, Verdict, driver};
+use foxtail_platform::{HostEntry, HostState};
 use foxtail_types::prelude::*;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -69,6 +70,17 @@
 
     /// Runs `count` requests at each host, evenly over `span`; returns how many were answered.
     async fn load(&self, at: &[usize], pool: &PoolId, count: u32, span: Duration) -> u32 {
+        self.load_of(Class::Interactive, at, pool, count, span).await
+    }
+
+    async fn load_of(
+        &self,
+        class: Class,
+        at: &[usize],
+        pool: &PoolId,
+        count: u32,
+        span: Duration,
+    ) -> u32 {
         let mut requests = JoinSet::new();
         for i in 0..count {
             for node in at {
@@ -78,7 +90,7 @@
                 let start = span * i / count;
                 requests.spawn(async move {
                     tokio::time::sleep(start).await;
-                    request(&limiter, clock.as_ref(), &pool, &busy, &peak).await.is_ok()
+                    request(&limiter, clock.as_ref(), &pool, class, &busy, &peak).await.is_ok()
                 });
             }
         }
@@ -90,6 +102,16 @@
         self.nodes.iter().position(owns).expect("one host owns the shard")
     }
 
+    fn list_as_leaving(&self, leaver: usize) {
+        let entry = |(at, node): (usize, &Node)| {
+            let entry = common::entry(&node.limiter.me().host, node.limiter.me().region.as_str());
+            let state = if at == leaver { HostState::Leaving } else { HostState::Live };
+            HostEntry { state, ..entry }
+        };
+        let entries: Vec<_> = self.nodes.iter().enumerate().map(entry).collect();
+        self.nodes.iter().for_each(|node| node.limiter.set_hosts(&entries, &[]));
+    }
+
     fn kill(&mut self, at: usize) {
         self.nodes[at].driver.abort();
         self.mesh.dead.lock().insert(self.nodes[at].limiter.me().host.clone());
@@ -100,14 +122,16 @@
     limiter: &SharedLimiter,
     clock: &RuntimeClock,
     pool: &PoolId,
+    class: Class,
     busy: &AtomicU32,
     peak: &AtomicU32,
 ) -> Result<(), Refusal> {
     let req = Acquire {
         request: RequestId::fresh(),
         pool,
-        class: Class::Interactive,
-        deadline: clock.now() + Millis(2_000),
+        class,
+        deadline: clock.now()
+            + if class == Class::Archive { Millis::secs(60) } else { Millis(2_000) },
         avoid: &[],
         request_bytes: 1_000,
         answer_bytes: 4_000,
@@ -137,6 +161,21 @@
     assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_overloaded_pool_serves_at_capacity_and_archive_requests_arrive() {
+    let bench = Bench::new(&["sabah"], 3);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (pool, span) = (common::pool("sabah"), Duration::from_secs(20));
+    // 150 interactive requests a second, of which 6 slots of 50 ms can serve 120.
+    let interactive = bench.load(&[0, 1, 2], &pool, 1_000, span);
+    let archive = bench.load_of(Class::Archive, &[1], &pool, 50, Duration::from_secs(5));
+    let (answered, archived) = tokio::join!(interactive, archive);
+    assert_eq!(archived, 50);
+    let capacity = 120 * 20;
+    assert!(answered + archived >= capacity * 95 / 100, "{answered} and {archived} answered");
+    assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
+}
+
 #[tokio::test(start_paused = true)]
 async fn one_host_alone_may_use_all_slots() {
     let bench = Bench::new(&["sabah"], 3);
@@ -189,6 +228,25 @@
     assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_host_that_leaves_in_a_store_outage_takes_no_service_along() {
+    let mut bench = Bench::new(&["sabah"], 4);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    *bench.table.down.lock() = true;
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let owner = bench.owner();
+    let leaver = (owner + 1) % 4;
+    bench.nodes[leaver].limiter.retire();
+    bench.list_as_leaving(leaver);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    bench.kill(leaver);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let pool = common::pool("sabah");
+    let answered = bench.load(&[owner, (owner + 2) % 4], &pool, 80, Duration::from_secs(2)).await;
+    assert_eq!(answered, 160);
+    assert!(bench.peak.load(Ordering::SeqCst) <= CAPACITY);
+}
+
 #[tokio::test(start_paused = true)]
 async fn requests_to_another_region_stay_within_the_shift_cap() {
     let bench = Bench::new(&["sabah", "sarawak"], 2);
--- a/foxtail-limit/tests/world/mod.rs
+++ b/foxtail-limit/tests/world/mod.rs
@@ -13,8 +13,8 @@
 use foxtail_limit::shift::USE_WITHIN;
 use foxtail_limit::station::{Action, Done, OpId, Parts, STORE_TIMEOUT, Station};
 use foxtail_limit::{Me, Seen, ShardId, Ticket, Unreachable, Verdict};
-use foxtail_platform::HostEntry;
 use foxtail_platform::table::{Error, Outcome};
+use foxtail_platform::{HostEntry, HostState};
 use foxtail_types::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -69,6 +69,7 @@
     holder: Holder,
     asks: HashMap<u64, Millis>,
     epoch: Epoch,
+    leaving: bool,
     serving: Vec<(oneshot::Receiver<Reply>, usize, u64, u64)>,
 }
 
@@ -118,7 +119,10 @@
     healed: bool,
     changes: Vec<(u64, usize, bool)>,
     listed: Vec<bool>,
-    cut: Vec<bool>,
+    /// On which side of a partition each host is.
+    side: Vec<bool>,
+    /// Hosts that don't reach the store.
+    storeless: Vec<bool>,
     pub(crate) store_down: bool,
     pub(crate) lossy: bool,
     /// Owners trust that no ticket of a former owner is out.
@@ -152,7 +156,8 @@
             healed: false,
             changes: Vec::new(),
             listed: vec![true; HOSTS],
-            cut: vec![false; HOSTS],
+            side: vec![false; HOSTS],
+            storeless: vec![false; HOSTS],
             store_down: false,
             lossy: false,
             forgetful: false,
@@ -180,7 +185,16 @@
         let hosted = Hosted::new(clock);
         let (holder, asks, serving) = (Holder::default(), HashMap::new(), Vec::new());
         let epoch = Epoch::default();
-        let process = Process { no: self.next, station, hosted, holder, asks, epoch, serving };
+        let process = Process {
+            no: self.next,
+            station,
+            hosted,
+            holder,
+            asks,
+            epoch,
+            leaving: false,
+            serving,
+        };
         self.hosts[at].process = Some(process);
         self.hosts[at].started = self.now;
         self.changes.push((self.now + LIST_LAG, at, true));
@@ -201,12 +215,19 @@
     pub(crate) fn stop(&mut self, at: usize) {
         if let Some(process) = &mut self.hosts[at].process {
             process.station.stop();
+            process.leaving = true;
+            self.changes.push((self.now, at, true));
         }
     }
 
-    /// Cuts a host off from the other hosts, but not from the store.
-    pub(crate) fn cut(&mut self, at: usize, cut: bool) {
-        self.cut[at] = cut;
+    /// Puts a host on one side of a partition between hosts.
+    pub(crate) fn part(&mut self, at: usize, side: bool) {
+        self.side[at] = side;
+    }
+
+    /// Cuts a host off from the store, or joins it again.
+    pub(crate) fn cut_store(&mut self, at: usize, cut: bool) {
+        self.storeless[at] = cut;
     }
 
     /// Ends all faults, and keeps a process on every host from now on.
@@ -214,7 +235,8 @@
         self.healed = true;
         self.store_down = false;
         self.lossy = false;
-        self.cut = vec![false; HOSTS];
+        self.side = vec![false; HOSTS];
+        self.storeless = vec![false; HOSTS];
         for at in 0..HOSTS {
             self.hosts[at].paused = false;
             self.start(at);
@@ -356,7 +378,7 @@
     }
 
     fn store(&mut self, at: usize, process: u64, op: OpId, action: Action) {
-        if self.store_down {
+        if self.store_down || self.storeless[at] {
             return;
         }
         let done = match action {
@@ -365,7 +387,8 @@
             Action::Call { .. } => return,
         };
         if !(self.lossy && self.rng.random_bool(0.3)) {
-            let delay = self.rng.random_range(0..30);
+            let late = if self.lossy { STORE_TIMEOUT.0 } else { 30 };
+            let delay = self.rng.random_range(0..late);
             self.push(delay, at, What::Stored { process, op, done });
         }
     }
@@ -540,11 +563,17 @@
 
     fn list(&self) -> Vec<HostEntry> {
         let listed = (0..HOSTS).filter(|at| self.listed[*at]);
-        listed.map(|at| common::entry(&self.hosts[at].id, region_of(at))).collect()
+        listed.map(|at| self.entry(at)).collect()
+    }
+
+    fn entry(&self, at: usize) -> HostEntry {
+        let leaving = self.hosts[at].process.as_ref().is_some_and(|process| process.leaving);
+        let state = if leaving { HostState::Leaving } else { HostState::Live };
+        HostEntry { state, ..common::entry(&self.hosts[at].id, region_of(at)) }
     }
 
     fn passes(&mut self, from: usize, to: usize) -> bool {
-        let cut = from != to && (self.cut[from] || self.cut[to]);
+        let cut = self.side[from] != self.side[to];
         let lost = self.lossy && self.rng.random_bool(0.1);
         !(cut || lost)
     }
