test(limit): the same seed gives the same run

Tickets and questions were iterated in the order of a hash map, which differs from process to process, so that a fixed seed did not fix the run.

--- a/foxtail-limit/src/holder.rs
+++ b/foxtail-limit/src/holder.rs
@@ -1,6 +1,6 @@
 //! The tickets that this host holds, and which owners it listens to.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use foxtail_types::prelude::*;
@@ -21,7 +21,7 @@
 struct Shard {
     fence: Epoch,
     owner: Option<HostId>,
-    held: HashMap<(Epoch, u64), Entry>,
+    held: BTreeMap<(Epoch, u64), Entry>,
     moved: Arc<Notify>,
 }
 
--- a/foxtail-limit/src/owner/pool.rs
+++ b/foxtail-limit/src/owner/pool.rs
@@ -1,6 +1,6 @@
 //! One pool: its upstreams' slots, the tickets that are out, and the queue for more.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 
 use foxtail_config::{Service, Upstream};
 use foxtail_types::prelude::*;
@@ -24,7 +24,7 @@
 pub struct Pool {
     id: PoolId,
     upstreams: Vec<Health>,
-    out: HashMap<(Epoch, u64), Out>,
+    out: BTreeMap<(Epoch, u64), Out>,
     /// Adopted tickets that have ended: a late report must not count them twice.
     ended: HashSet<(Epoch, u64)>,
     queue: Queue,
@@ -66,7 +66,7 @@
         Self {
             id,
             upstreams: Vec::new(),
-            out: HashMap::new(),
+            out: BTreeMap::new(),
             ended: HashSet::new(),
             queue: Queue::default(),
             queue_max: 0,
--- a/foxtail-limit/tests/world/mod.rs
+++ b/foxtail-limit/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! A simulated fleet: stations, owners and ticket holders with clocks of their own, a network that
 //! loses and reorders, and a table whose commits and replies are late or lost.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -67,7 +67,7 @@
     station: Station,
     hosted: Hosted,
     holder: Holder,
-    asks: HashMap<u64, Millis>,
+    asks: BTreeMap<u64, Millis>,
     epoch: Epoch,
     leaving: bool,
     serving: Vec<(oneshot::Receiver<Reply>, usize, u64, u64)>,
@@ -183,7 +183,7 @@
         let mut station = Station::new(me, token, now, Arc::new(MostFree), self.snapshot.clone());
         station.set_hosts(&self.list(), &[]);
         let hosted = Hosted::new(clock);
-        let (holder, asks, serving) = (Holder::default(), HashMap::new(), Vec::new());
+        let (holder, asks, serving) = (Holder::default(), BTreeMap::new(), Vec::new());
         let epoch = Epoch::default();
         let process = Process {
             no: self.next,
