fix(limit): archive requests book links before shift; a ready host answers look-ups at once

Cause: a refused archive request gave unused shift back by forgetting the oldest reservation, so that refused ones used up the cap; and a host said that it takes traffic up to 500 ms before its directory of hosts was built. A trial connection counts as refused only if it was refused. Before: 151 of 3,000 interactive requests answered, bound 2,850; look-up 503 at a host whose health page said Serving.

--- a/foxtail-lab/src/scenario/path.rs
+++ b/foxtail-lab/src/scenario/path.rs
@@ -88,13 +88,13 @@
         }
     }
 
-    /// Books the bytes of an answer, and takes the request out of the shift budget. Usually in this
-    /// order, as unused bytes can be given back exactly, but unused shift only in part.
+    /// Books the bytes of an answer, and takes the request out of the shift budget, in the live
+    /// limiter's order: shift first for interactive requests, link bytes first for archive.
     fn travel(&mut self, at: usize, from: usize, to: usize) -> Result<Millis, Refusal> {
         if self.sites[from].lost || self.sites[to].lost {
             return Err(Refusal::OwnerUnreachable);
         }
-        let after = if self.setup.shift_first {
+        let after = if self.requests[at].class == Class::Interactive {
             self.shift(from)?;
             let workspace = self.snapshot.workspaces[0].id.clone();
             let booked = self.book(at, from, to);
--- a/foxtail-limit/src/shared/travel.rs
+++ b/foxtail-limit/src/shared/travel.rs
@@ -31,8 +31,7 @@
     /// A slot in another region, with all that the way there and back takes.
     pub(super) async fn travel(&self, req: &Acquire<'_>) -> Result<Ticket, Refusal> {
         let mut booked = Booked { limiter: self, notes: Vec::new() };
-        let shifted = self.reserve_shift(req, &mut booked).await?;
-        let mut kept = match req.class {
+        let (shifted, mut kept) = match req.class {
             Class::Interactive => self.slot_and_links(req, &mut booked).await?,
             Class::Archive => self.links_then_slot(req, &mut booked).await?,
         };
@@ -60,26 +59,30 @@
         &'a self,
         req: &Acquire<'_>,
         booked: &mut Booked<'a>,
-    ) -> Result<Kept<'a>, Refusal> {
+    ) -> Result<(Millis, Kept<'a>), Refusal> {
+        let shifted = self.reserve_shift(req, booked).await?;
         let travel = self.travel_of(req);
         let slot =
             async { self.slot(req, Some(travel)).await.map(|ticket| Kept::new(self, ticket)) };
         let (links, kept) = tokio::join!(self.links(req, booked), slot);
         let kept = kept?;
         tokio::time::sleep(links?.duration()).await;
-        Ok(kept)
+        Ok((shifted, kept))
     }
 
     /// One after the other, as an archive request must not hold a slot while it waits for the links.
+    /// The links come first, because they are what it is often refused for, and unused bytes can be
+    /// given back exactly, but unused shift only in part.
     async fn links_then_slot<'a>(
         &'a self,
         req: &Acquire<'_>,
         booked: &mut Booked<'a>,
-    ) -> Result<Kept<'a>, Refusal> {
+    ) -> Result<(Millis, Kept<'a>), Refusal> {
         let wait = self.links(req, booked).await?;
         tokio::time::sleep(wait.duration()).await;
+        let shifted = self.reserve_shift(req, booked).await?;
         let ticket = self.slot(req, Some(self.travel_of(req))).await?;
-        Ok(Kept::new(self, ticket))
+        Ok((shifted, Kept::new(self, ticket)))
     }
 
     async fn links<'a>(
--- a/foxtail-node/src/caller/mod.rs
+++ b/foxtail-node/src/caller/mod.rs
@@ -48,7 +48,9 @@
 }
 
 fn health(state: &State) -> Response<Body> {
-    let status = state.status();
+    let view = state.fleet.view.load();
+    let own = view.get(state.fleet.me()).map(|member| member.status);
+    let status = own.unwrap_or_else(|| state.status());
     let text = json!({
         "host": state.settings.host,
         "phase": status.phase,
--- a/foxtail-node/src/members.rs
+++ b/foxtail-node/src/members.rs
@@ -57,7 +57,11 @@
 
 /// Builds the view anew, and from it the directory that look-ups read.
 pub(crate) fn refresh(state: &State, now: Millis) {
-    let view = state.fleet.members.lock().view(now);
+    let view = {
+        let mut members = state.fleet.members.lock();
+        members.set_status(state.status(), now);
+        members.view(now)
+    };
     if let Some(snapshot) = state.snapshot() {
         state.directory.store(directory(&view, &snapshot, now).map(Arc::new));
     }
--- a/foxtail-node/src/ready.rs
+++ b/foxtail-node/src/ready.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use tokio_util::sync::CancellationToken;
 
+use crate::members;
 use crate::state::State;
 
 /// How often readiness is looked at.
@@ -24,6 +25,7 @@
         let snapshot = newest(&state).await;
         warm(&state, &snapshot).await;
         state.warm.store(true, Ordering::SeqCst);
+        members::refresh(&state, state.clock.now());
         tracing::info!(event = "host_ready", version = %snapshot.version);
     };
     stop.run_until_cancelled(ready).await;
--- a/foxtail-node/src/serve/run.rs
+++ b/foxtail-node/src/serve/run.rs
@@ -1,5 +1,6 @@
 //! One attempt, from the leave to make it to its end.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -138,7 +139,7 @@
 async fn probe(state: &State, addr: SocketAddr) -> Probe {
     match tokio::time::timeout(PROBE_TIMEOUT.duration(), state.dial.dial(addr)).await {
         Ok(Ok(_)) => Probe::Accepted,
-        Ok(Err(_)) => Probe::Refused,
-        Err(_) => Probe::TimedOut,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::TimedOut,
     }
 }
