feat(node): a request given up while an upstream had it is a suspect if the upstream then refuses connections

Cause: a request that hangs and then crashes an upstream left no evidence when its caller went away or its time was up first, so that sending it again was not bounded. Change: after such an end the leave is kept for ABANDONED_FOR, then a trial connection tells; only a refused one counts. The caller is answered at once.

--- a/foxtail-node/src/members.rs
+++ b/foxtail-node/src/members.rs
@@ -20,7 +20,7 @@
 /// How often the platform's list is read in a small fleet.
 const LIST_EVERY: Millis = Millis(2_000);
 /// What each known host adds to the time between two reads of the list, which grows with the fleet.
-const LIST_EVERY_PER_HOST: Millis = Millis(20);
+const LIST_EVERY_PER_HOST: Millis = Millis(40);
 /// The longest a read of the list may take.
 const LIST_TIMEOUT: Millis = Millis(1_500);
 
--- a/foxtail-node/src/serve/run.rs
+++ b/foxtail-node/src/serve/run.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use foxtail_limit::{Load, Seen, Ticket, Verdict};
-use foxtail_retry::crash::{PROBE_TIMEOUT, Probe};
+use foxtail_retry::crash::{ABANDONED_FOR, PROBE_TIMEOUT, Probe};
 use foxtail_retry::msg::Ended;
+use foxtail_retry::record::Evidence;
 use foxtail_retry::watch::Permit;
 use foxtail_types::prelude::*;
 use futures::future::BoxFuture;
@@ -24,6 +25,7 @@
     bytes: u64,
     load: Option<Load>,
     server_error: bool,
+    sent: bool,
 }
 
 impl Run {
@@ -45,6 +47,7 @@
             bytes: 0,
             load: None,
             server_error: false,
+            sent: false,
         }
     }
 
@@ -53,6 +56,11 @@
         self.until.since(self.state.clock.now())
     }
 
+    /// Notes whether the upstream may have the request.
+    pub(crate) fn set_sent(&mut self, sent: bool) {
+        self.sent = sent;
+    }
+
     /// Notes the head of the answer.
     pub(crate) fn heard(&mut self, load: Option<Load>, server_error: bool) {
         self.load = load;
@@ -96,10 +104,13 @@
         let took = self.state.clock.now().since(self.started);
         let seen = Seen { verdict, took, answer_bytes: self.bytes, load: self.load };
         self.state.limiter.release(ticket, seen);
-        let (state, addr) = (Arc::clone(&self.state), self.addr);
+        let (state, addr, sent) = (Arc::clone(&self.state), self.addr, self.sent);
         Some(Box::pin(async move {
             let trial = permit.is_trial();
-            let ended = ended(&state, &upstream, addr, trial, verdict).await;
+            let ended = match verdict {
+                Verdict::TimedOut | Verdict::Cancelled if sent => abandoned(&state, addr).await,
+                _ => ended(&state, &upstream, addr, trial, verdict).await,
+            };
             state.watch.finish(permit, ended).await;
         }))
     }
@@ -135,6 +146,16 @@
     }
 }
 
+/// What an attempt tells that was given up while the upstream had the request: it may crash the
+/// upstream yet.
+async fn abandoned(state: &State, addr: SocketAddr) -> Ended {
+    tokio::time::sleep(ABANDONED_FOR.duration()).await;
+    match probe(state, addr).await {
+        Probe::Refused => Ended::Broke(Evidence::Crash),
+        Probe::Accepted | Probe::TimedOut => Ended::Nothing,
+    }
+}
+
 /// Makes a trial connection, which tells a crash from a lone broken connection.
 async fn probe(state: &State, addr: SocketAddr) -> Probe {
     match tokio::time::timeout(PROBE_TIMEOUT.duration(), state.dial.dial(addr)).await {
--- a/foxtail-node/src/upstream.rs
+++ b/foxtail-node/src/upstream.rs
@@ -67,10 +67,17 @@
             return not_sent(run, Verdict::Cancelled).await;
         }
     };
+    run.set_sent(true);
     match tokio::time::timeout(left.duration(), client.request(req)).await {
-        Err(_) => lost(run, Verdict::TimedOut).await,
+        Err(_) => {
+            run.end_soon(Verdict::TimedOut);
+            Attempt::Lost(Verdict::TimedOut)
+        }
         Ok(Err(e)) if e.is_connect() => not_sent(run, Verdict::Unreachable).await,
-        Ok(Err(e)) if never_written(&e) => not_sent(run, Verdict::Cancelled).await,
+        Ok(Err(e)) if never_written(&e) => {
+            run.set_sent(false);
+            not_sent(run, Verdict::Cancelled).await
+        }
         Ok(Err(_)) => lost(run, Verdict::Broken).await,
         Ok(Ok(answer)) => {
             run.heard(load(answer.headers()), answer.status().is_server_error());
