--- a/foxtail-node/src/decisions.rs
+++ b/foxtail-node/src/decisions.rs
@@ -2,33 +2,12 @@
 
 use std::collections::VecDeque;
 
-use foxtail_types::prelude::*;
+pub use foxtail_wire::operator::Decision;
 use parking_lot::Mutex;
 
 /// How many decisions a host keeps.
 const KEPT: usize = 4_096;
 
-/// One decision, as an operator is shown it.
-#[value]
-pub struct Decision {
-    /// When, since the Unix epoch.
-    pub at: Millis,
-    /// What was decided: `place`, `route` or `outcome`.
-    pub kind: String,
-    /// The request.
-    pub request: RequestId,
-    /// The workspace.
-    pub workspace: WorkspaceId,
-    /// The service.
-    pub service: ServiceId,
-    /// The candidates considered, each with its verdict.
-    pub candidates: String,
-    /// The choice.
-    pub chosen: String,
-    /// The reason.
-    pub reason: String,
-}
-
 /// The last decisions of this host.
 #[derive(Default)]
 pub(crate) struct Decisions {
--- a/foxtail-node/src/operator.rs
+++ b/foxtail-node/src/operator.rs
@@ -113,15 +113,5 @@
 }
 
 fn explained(state: &State, decision: Decision) -> Explained {
-    Explained {
-        host: state.settings.host.clone(),
-        at: decision.at,
-        kind: decision.kind,
-        request: decision.request,
-        workspace: decision.workspace,
-        service: decision.service,
-        candidates: decision.candidates,
-        chosen: decision.chosen,
-        reason: decision.reason,
-    }
+    Explained { host: state.settings.host.clone(), decision }
 }
--- a/foxtail-once/src/relay.rs
+++ b/foxtail-once/src/relay.rs
@@ -12,6 +12,7 @@
 use async_trait::async_trait;
 use foxtail_types::prelude::*;
 use parking_lot::{Mutex, RwLock};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::commit::{Commit, Done, Entry, Pace, Sent, Urgency};
 
@@ -184,12 +185,5 @@
 /// The relay among `hosts`: the same on every host that sees the same hosts, and seldom another
 /// when they change.
 pub fn choose<'a>(hosts: impl IntoIterator<Item = &'a HostId>) -> Option<&'a HostId> {
-    hosts.into_iter().max_by_key(|host| (weight(host.as_str()), *host))
-}
-
-/// FNV-1a, which is the same on every host and in every release.
-fn weight(name: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    name.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+    hosts.into_iter().max_by_key(|host| (xxh3_64(host.as_str().as_bytes()), *host))
 }
--- a/foxtail-wire/src/operator.rs
+++ b/foxtail-wire/src/operator.rs
@@ -6,7 +6,9 @@
 mod handler;
 mod server;
 
-pub use api::{Asked, DrainStatus, Explained, HostLine, OperatorClient, OperatorServer, Status};
+pub use api::{
+    Asked, Decision, DrainStatus, Explained, HostLine, OperatorClient, OperatorServer, Status,
+};
 pub use auth::{Credential, Credentials, Operator};
 pub use errors::error_of;
 pub use handler::{Live, Service};
--- a/foxtail-wire/src/operator/api.rs
+++ b/foxtail-wire/src/operator/api.rs
@@ -131,14 +131,22 @@
     Workspace(WorkspaceId),
 }
 
-/// A decision.
+/// A decision, and who made it.
 #[value]
 pub struct Explained {
     /// The host that decided.
     pub host: HostId,
+    /// The decision.
+    #[serde(flatten)]
+    pub decision: Decision,
+}
+
+/// A routing or placement decision, or an outcome without an answer.
+#[value]
+pub struct Decision {
     /// When, since the Unix epoch.
     pub at: Millis,
-    /// What was decided.
+    /// What was decided: `place`, `route` or `outcome`.
     pub kind: String,
     /// The request.
     pub request: RequestId,
@@ -146,7 +154,7 @@
     pub workspace: WorkspaceId,
     /// The service.
     pub service: ServiceId,
-    /// The candidates, each with its verdict.
+    /// The candidates considered, each with its verdict.
     pub candidates: String,
     /// The choice.
     pub chosen: String,
--- a/foxtailctl/src/output.rs
+++ b/foxtailctl/src/output.rs
@@ -6,7 +6,7 @@
 use foxtail_config::headroom::{Headroom, slots_text};
 use foxtail_sync::admin::{Accepted, HistoryEntry, InForce, Planned, Shown};
 use foxtail_types::prelude::*;
-use foxtail_wire::operator::{DrainStatus, Explained, Status};
+use foxtail_wire::operator::{Decision, DrainStatus, Explained, Status};
 use serde::Serialize;
 use serde_json::json;
 
@@ -151,9 +151,8 @@
         if self.json {
             return self.json(&decisions);
         }
-        for decision in decisions {
-            let Explained { host, at, kind, request, service, candidates, chosen, reason, .. } =
-                decision;
+        for Explained { host, decision } in decisions {
+            let Decision { at, kind, request, service, candidates, chosen, reason, .. } = decision;
             println!("{} {host} {kind} request={request} service={service}", time(*at));
             println!("    chosen {chosen}: {reason}");
             println!("    candidates {candidates}");
--- a/foxtailctl/src/site.rs
+++ b/foxtailctl/src/site.rs
@@ -24,7 +24,7 @@
             Err(e) => out.note(&format!("host {} did not answer: {e}", host.id)),
         }
     }
-    found.sort_by_key(|decision| decision.at);
+    found.sort_by_key(|found| found.decision.at);
     out.explained(&found);
     Ok(())
 }
