--- a/foxtail-node/src/serve/call.rs
+++ b/foxtail-node/src/serve/call.rs
@@ -27,6 +27,10 @@
 const CLASS: &str = "x-foxtail-class";
 const KEY: &str = "x-foxtail-key";
 const RESENT: &str = "x-foxtail-resent";
+/// The most bytes read of a body that is refused.
+const DISCARD_MAX_BYTES: usize = 4 << 20;
+/// The longest time for that.
+const DISCARD_TIMEOUT: Millis = Millis(1_000);
 /// What the smallest body counts for in memory, in bytes.
 const BODY_MIN_BYTES: u64 = 1_024;
 
@@ -115,6 +119,7 @@
     let max = call.service().body_max_bytes;
     let declared = body.size_hint().upper();
     if body.size_hint().lower() > max {
+        discard(body).await;
         return Err(too_large(max));
     }
     let room = declared.unwrap_or(max).clamp(BODY_MIN_BYTES, max.max(BODY_MIN_BYTES));
@@ -143,6 +148,21 @@
     }
 }
 
+/// Takes in some of a body that is refused: a caller that is still sending when the connection is
+/// closed would not get to read why.
+async fn discard(mut body: Incoming) {
+    let read = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > DISCARD_MAX_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT.duration(), read).await;
+}
+
 fn too_large(max: u64) -> Refused {
     Refused::wrong(Reason::TooLarge, format!("the body may have at most {max} bytes"))
 }
