--- a/foxtail-lab/src/fleet/mod.rs
+++ b/foxtail-lab/src/fleet/mod.rs
@@ -26,6 +26,8 @@
 pub const OPERATOR_TOKEN: &str = "lab-operator-token";
 /// The longest a fleet may take until every host takes traffic.
 const READY_TIMEOUT: Millis = Millis::secs(30);
+/// The first start of a host.
+const FIRST: u64 = 1;
 const READY_POLL: Millis = Millis(50);
 
 /// A whole installation.
@@ -77,7 +79,7 @@
         operator.configure(&shape, &upstreams.addrs()).await?;
         let fleet = Self { shape, fabric, platform, upstreams, operator, hosts: Mutex::default() };
         for host in fleet.shape.hosts() {
-            fleet.start_host(host).await?;
+            fleet.start_host(host, FIRST).await?;
         }
         fleet.publish_hosts();
         fleet.ready().await?;
@@ -174,6 +176,25 @@
         Ok(report)
     }
 
+    /// Stops the host named `id` gracefully and starts it anew, as when its machine is replaced;
+    /// returns when the new one takes traffic.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such host, or the new one does not start.
+    pub async fn replace_host(&self, id: &HostId) -> Result<stop::Report> {
+        let report = self.stop_host(id).await?;
+        let stopped = {
+            let mut hosts = self.hosts.lock();
+            let at = hosts.iter().position(|host| host.shape.id == *id);
+            at.map(|at| hosts.swap_remove(at)).with_context(|| format!("no host {id}"))?
+        };
+        self.start_host(stopped.shape, stopped.entry.incarnation + 1).await?;
+        self.publish_hosts();
+        self.ready().await?;
+        Ok(report)
+    }
+
     /// Stops everything.
     pub async fn stop(self) {
         let nodes: Vec<Node> =
@@ -185,18 +206,18 @@
         self.fabric.close().await;
     }
 
-    async fn start_host(&self, shape: HostShape) -> Result<()> {
+    async fn start_host(&self, shape: HostShape, incarnation: u64) -> Result<()> {
         let place = Place::zone(&shape.region, &shape.zone);
         let dial = self.fabric.dial_from(place.clone());
         let ports = Ports { dial, clock: Arc::new(BootClock) };
-        let node = Node::start(self.settings(&shape), ports).await?;
+        let node = Node::start(self.settings(&shape, incarnation), ports).await?;
         let addrs = node.addrs();
         for addr in [addrs.caller, addrs.peer, addrs.operator] {
             self.fabric.register(addr, place.clone());
         }
         let entry = HostEntry {
             id: shape.id.clone(),
-            incarnation: 1,
+            incarnation,
             region: shape.region.clone(),
             zone: shape.zone.clone(),
             caller: addrs.caller,
@@ -208,18 +229,18 @@
         Ok(())
     }
 
-    fn settings(&self, shape: &HostShape) -> Settings {
+    fn settings(&self, shape: &HostShape, incarnation: u64) -> Settings {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         Settings {
             host: shape.id.clone(),
-            incarnation: Some(1),
+            incarnation: Some(incarnation),
             region: shape.region.clone(),
             zone: shape.zone.clone(),
             caller: any,
             peer: any,
             operator: any,
             platform: vec![self.platform.addr()],
-            store_region: None,
+            store_region: Some(self.shape.region(0).clone()),
             seeds: Vec::new(),
             operators: vec![Credential {
                 name: "lab".to_owned(),
--- a/foxtail-limit/src/link.rs
+++ b/foxtail-limit/src/link.rs
@@ -92,6 +92,15 @@
         (lane(&self.main) + lane(&self.trickle)).round() as u64
     }
 
+    /// The share of a full burst that may be sent now, from 0 to 1.
+    pub fn free_share(&self, now: Millis) -> f64 {
+        let (mut main, mut trickle) = (self.main.clone(), self.trickle.clone());
+        main.refill(now);
+        trickle.refill(now);
+        let free = main.tokens.max(0.0) + trickle.tokens.max(0.0);
+        free / (main.burst + trickle.burst).max(f64::MIN_POSITIVE)
+    }
+
     fn leaves_room(&self, bytes: u64) -> bool {
         self.main.tokens - bytes as f64 >= self.main.burst * INTERACTIVE_SHARE
     }
--- a/foxtail-limit/src/owner/mod.rs
+++ b/foxtail-limit/src/owner/mod.rs
@@ -324,6 +324,11 @@
         self.pools.iter().map(move |(id, pool)| (id, pool.usage(now)))
     }
 
+    /// The link directions, each with the free share of its burst.
+    pub fn links(&self, now: Millis) -> impl Iterator<Item = (&LinkId, f64)> {
+        self.links.iter().map(move |(id, budget)| (id, budget.free_share(now)))
+    }
+
     /// Whether a former owner may go on by promises of which this owner has not heard.
     fn disputed(&self) -> bool {
         matches!(self.start, Start::Unknown { since: Millis::MAX, .. })
--- a/foxtail-node/src/limits.rs
+++ b/foxtail-node/src/limits.rs
@@ -84,7 +84,7 @@
     }
 }
 
-/// Shows the free share of each pool that this host owns, until `stop`.
+/// Shows the free share of each pool and link that this host owns, until `stop`.
 pub(crate) async fn show(state: Arc<State>, stop: CancellationToken) {
     let mut ticks = tokio::time::interval(SHOW_EVERY.duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -97,6 +97,9 @@
                     let share = f64::from(free) / f64::from(usage.slots.max(1));
                     state.metrics.headroom("pool", &pool.to_string(), share);
                 }
+                for (link, share) in owner.links(now) {
+                    state.metrics.headroom("link", &link.to_string(), share);
+                }
             });
             tracing::trace!(event = "headroom_shown", shard = ?shard, owned = shown.is_some());
         }
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -212,6 +212,7 @@
         self.control.spawn(members::list(Arc::clone(state), list, stop.clone()));
         self.control.spawn(limits::show(Arc::clone(state), stop.clone()));
         self.control.spawn(ready::make_ready(Arc::clone(state), stop.clone()));
+        self.control.spawn(ready::warm_ahead(Arc::clone(state), stop.clone()));
         let serving = serve_callers(Arc::clone(state), callers, self.stop_callers.clone());
         self.callers.spawn(serving);
         let table = Arc::clone(&platform.table);
--- a/foxtail-node/src/ready.rs
+++ b/foxtail-node/src/ready.rs
@@ -17,6 +17,8 @@
 
 /// How often readiness is looked at.
 const LOOK_EVERY: Millis = Millis(50);
+/// The most connections that are warmed ahead of a shift.
+const WARMED_AHEAD_MAX: usize = 256;
 /// How many hosts are asked for news of crash suspects.
 const NEWS_TRIES: usize = 3;
 /// The longest one upstream may take to be connected to.
@@ -34,6 +36,26 @@
     stop.run_until_cancelled(ready).await;
 }
 
+/// Warms connections to other regions as soon as a drain is in force that will send requests there,
+/// until `stop`.
+pub(crate) async fn warm_ahead(state: Arc<State>, stop: CancellationToken) {
+    let mut config = state.config.clone();
+    let mut drained = 0;
+    while let Some(Ok(())) = stop.run_until_cancelled(config.changed()).await {
+        let Some(snapshot) = config.borrow_and_update().clone() else { continue };
+        let now_drained = near(&state, &snapshot).filter(|it| snapshot.drains_upstream(it)).count();
+        if now_drained > drained {
+            let far = upstreams(&snapshot).filter(|it| it.region != state.settings.region);
+            let open = far.filter(|it| !snapshot.drains_upstream(it));
+            let some = open.take(WARMED_AHEAD_MAX);
+            let warming = join_all(some.map(|upstream| connect(&state, upstream)));
+            stop.run_until_cancelled(warming).await;
+            tracing::info!(event = "warmed_ahead", version = %snapshot.version, drained = now_drained);
+        }
+        drained = now_drained;
+    }
+}
+
 /// Waits for a configuration that is no older than any that another host holds.
 async fn newest(state: &State) -> Arc<Snapshot> {
     let mut ticks = tokio::time::interval(LOOK_EVERY.duration());
@@ -62,9 +84,17 @@
 
 /// Opens a connection to each upstream of the own region.
 async fn warm(state: &State, snapshot: &Snapshot) {
+    join_all(near(state, snapshot).map(|upstream| connect(state, upstream))).await;
+}
+
+fn upstreams(snapshot: &Snapshot) -> impl Iterator<Item = &Upstream> {
     let services = snapshot.workspaces.iter().flat_map(|workspace| &workspace.services);
-    let near = services.flat_map(|service| service.upstreams_in(&state.settings.region));
-    join_all(near.map(|upstream| connect(state, upstream))).await;
+    services.flat_map(|service| &service.upstreams)
+}
+
+/// The upstreams of the own region.
+fn near<'a>(state: &'a State, snapshot: &'a Snapshot) -> impl Iterator<Item = &'a Upstream> {
+    upstreams(snapshot).filter(|upstream| upstream.region == state.settings.region)
 }
 
 async fn connect(state: &State, upstream: &Upstream) {
