fix(lab): callers remember the hosts of the last answers

Cause: the callers of the load tool asked only the hosts that they began with; once all of these had been replaced, no look-up could be made.

--- a/foxtail-lab/src/load/directory.rs
+++ b/foxtail-lab/src/load/directory.rs
@@ -13,6 +13,9 @@
 use rand::Rng;
 use serde::Deserialize;
 
+/// How many hosts are remembered besides those of the last answer.
+const HOSTS_KEPT: usize = 16;
+
 /// An entry host in a look-up answer.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct Entry {
@@ -35,7 +38,8 @@
 pub(crate) struct Directory {
     workspace: WorkspaceId,
     region: RegionId,
-    hosts: Vec<SocketAddr>,
+    /// Hosts to ask, those of the last answers first.
+    hosts: Mutex<Vec<SocketAddr>>,
     answers: Mutex<HashMap<String, (Millis, Answer)>>,
 }
 
@@ -43,7 +47,7 @@
     /// Look-ups for callers of `region`, at any of `hosts`.
     pub(crate) fn new(workspace: &WorkspaceId, region: &RegionId, hosts: Vec<SocketAddr>) -> Self {
         let (workspace, region) = (workspace.clone(), region.clone());
-        Self { workspace, region, hosts, answers: Mutex::default() }
+        Self { workspace, region, hosts: Mutex::new(hosts), answers: Mutex::default() }
     }
 
     /// An entry host for `service`, by the weights; `but` is not chosen while there are others.
@@ -74,11 +78,11 @@
 
     async fn ask_any(&self, client: &Client, service: &str) -> Result<Vec<Entry>> {
         let mut last = None;
-        let first = rand::rng().random_range(0..self.hosts.len());
-        for n in 0..self.hosts.len() {
-            let host = self.hosts[(first + n) % self.hosts.len()];
+        let known = self.hosts.lock().clone();
+        for host in known {
             match self.ask(client, host, service).await {
                 Ok(answer) => {
+                    self.learn(&answer.hosts);
                     let until = BootClock.now() + Millis(answer.ttl_ms);
                     let hosts = answer.hosts.clone();
                     self.answers.lock().insert(service.to_owned(), (until, answer));
@@ -90,6 +94,18 @@
         Err(last.context("there is no host to ask")?)
     }
 
+    /// Remembers the hosts of an answer, which outlive those known before.
+    fn learn(&self, found: &[Entry]) {
+        let mut hosts = self.hosts.lock();
+        let mut newest: Vec<_> = found.iter().map(|entry| entry.address).collect();
+        let first = rand::rng().random_range(0..newest.len().max(1));
+        newest.rotate_left(first);
+        let before = hosts.iter().filter(|host| !newest.contains(host));
+        let before: Vec<_> = before.take(HOSTS_KEPT).copied().collect();
+        newest.extend(before);
+        *hosts = newest;
+    }
+
     async fn ask(&self, client: &Client, host: SocketAddr, service: &str) -> Result<Answer> {
         let (workspace, region) = (&self.workspace, &self.region);
         let uri = format!(
