feat: look-ups by the caller's address, with blocks from the network's configuration

Cause: hosts kept an empty block map, so that a caller that did not name its region got the hosts of whatever region it asked. Change: the network may list blocks with region and zone; each host compiles them when they change. Before: every look-up without a region had the reason unknown-region. Conclusion: kept for up to 10,000 blocks; a map in the object store is still to come.

--- a/foxtail-config/src/compile/network.rs
+++ b/foxtail-config/src/compile/network.rs
@@ -4,8 +4,9 @@
 
 use super::Error;
 use crate::params::LinkParams;
-use crate::{Link, Network, NetworkParams, Region};
+use crate::{ClientBlock, Link, Network, NetworkParams, Region};
 
+const BLOCKS_MAX: usize = 10_000;
 const OWNER_SHARDS_MAX: u16 = 1_024;
 const MBIT_PER_S_MAX: u32 = 1_000_000;
 const DELAY_MS_MAX: u64 = 1_000;
@@ -27,8 +28,10 @@
         let accepted = format!("1 to {OWNER_SHARDS_MAX}");
         errors.push("owner_shards", format!("{} is out of bounds", params.owner_shards), accepted);
     }
+    check_blocks(&params.blocks, &regions, &mut errors);
     let links = links(params, &regions);
-    errors.into_result(Network { regions, links, owner_shards: params.owner_shards })
+    let (owner_shards, blocks) = (params.owner_shards, params.blocks.clone());
+    errors.into_result(Network { regions, links, owner_shards, blocks })
 }
 
 fn regions(params: &NetworkParams, errors: &mut Error) -> Vec<Region> {
@@ -53,6 +56,31 @@
     regions
 }
 
+fn check_blocks(blocks: &[ClientBlock], regions: &[Region], errors: &mut Error) {
+    if blocks.len() > BLOCKS_MAX {
+        let reason = format!("{} are too many", blocks.len());
+        errors.push("blocks", reason, format!("at most {BLOCKS_MAX}"));
+    }
+    let mut seen = BTreeSet::new();
+    for (i, block) in blocks.iter().enumerate() {
+        let path = format!("blocks.{i}");
+        if !seen.insert(block.net.trunc()) {
+            errors.push(format!("{path}.net"), format!("{} stands twice", block.net), "once");
+        }
+        let Some(region) = regions.iter().find(|region| region.id == block.region) else {
+            let names: Vec<_> = regions.iter().map(|region| region.id.as_str()).collect();
+            let reason = format!("there is no region {}", block.region);
+            errors.push(format!("{path}.region"), reason, names.join(", "));
+            continue;
+        };
+        if let Some(zone) = block.zone.as_ref().filter(|zone| !region.zones.contains(zone)) {
+            let zones: Vec<_> = region.zones.iter().map(ZoneId::as_str).collect();
+            let reason = format!("region {} has no zone {zone}", region.id);
+            errors.push(format!("{path}.zone"), reason, zones.join(", "));
+        }
+    }
+}
+
 fn links(params: &NetworkParams, regions: &[Region]) -> Vec<Link> {
     let mut links = Vec::new();
     for from in regions {
--- a/foxtail-config/src/lib.rs
+++ b/foxtail-config/src/lib.rs
@@ -19,6 +19,7 @@
 pub use params::{Limit, NetworkParams, Params};
 pub use plan::Plan;
 pub use spec::{
-    Drain, DrainTarget, Link, Network, OnceRule, Region, Service, Snapshot, Upstream, Workspace,
+    ClientBlock, Drain, DrainTarget, Link, Network, OnceRule, Region, Service, Snapshot, Upstream,
+    Workspace,
 };
 pub use template::Template;
--- a/foxtail-config/src/params.rs
+++ b/foxtail-config/src/params.rs
@@ -5,7 +5,7 @@
 
 use foxtail_types::prelude::*;
 
-use crate::OnceRule;
+use crate::{ClientBlock, OnceRule};
 
 /// The parameters of one workspace.
 #[value]
@@ -72,6 +72,10 @@
     pub links: Vec<LinkOverride>,
     /// Into how many shards the limits of one region are split.
     pub owner_shards: u16,
+    /// Where clients are, by their addresses; a client that is in no block gets the hosts of the
+    /// region of the host it asked.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub blocks: Vec<ClientBlock>,
 }
 
 /// The parameters of a link direction.
--- a/foxtail-config/src/spec.rs
+++ b/foxtail-config/src/spec.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use foxtail_types::prelude::*;
+use ipnet::IpNet;
 
 /// All configuration at one version.
 #[value]
@@ -28,6 +29,21 @@
     pub links: Vec<Link>,
     /// Into how many shards the limits of one region are split; each shard has one owner host.
     pub owner_shards: u16,
+    /// Where clients are, by their addresses.
+    pub blocks: Vec<ClientBlock>,
+}
+
+/// A block of client addresses, and where its clients are.
+#[value]
+#[serde(deny_unknown_fields)]
+pub struct ClientBlock {
+    /// The addresses. An inner block goes before one that encloses it.
+    pub net: IpNet,
+    /// The region whose hosts its clients are sent to.
+    pub region: RegionId,
+    /// The zone, if they are nearer to one than to the others.
+    #[serde(default)]
+    pub zone: Option<ZoneId>,
 }
 
 /// A region and its availability zones.
--- a/foxtail-lab/src/scenario/world.rs
+++ b/foxtail-lab/src/scenario/world.rs
@@ -392,7 +392,7 @@
     let links = pairs.filter(|(from, to)| from != to).map(link).collect();
     let region = |id: &RegionId| Region { id: id.clone(), zones: vec![zone(id)] };
     let regions = regions.iter().map(region).collect();
-    let network = Arc::new(Network { regions, links, owner_shards: 1 });
+    let network = Arc::new(Network { regions, links, owner_shards: 1, blocks: Vec::new() });
     let workspaces = vec![Arc::new(workspace)];
     Snapshot { version: Version(1), network, workspaces, drains: Vec::new() }
 }
--- a/foxtail-limit/examples/owner_rate.rs
+++ b/foxtail-limit/examples/owner_rate.rs
@@ -163,8 +163,12 @@
         services: services.collect::<anyhow::Result<_>>()?,
         shift_per_s: 100,
     };
-    let network =
-        Network { regions: vec![Region { id: region, zones }], links: Vec::new(), owner_shards: 1 };
+    let network = Network {
+        regions: vec![Region { id: region, zones }],
+        links: Vec::new(),
+        owner_shards: 1,
+        blocks: Vec::new(),
+    };
     Ok(Snapshot {
         version: Version(1),
         network: Arc::new(network),
--- a/foxtail-limit/tests/common/mod.rs
+++ b/foxtail-limit/tests/common/mod.rs
@@ -88,6 +88,7 @@
     let pairs = regions.iter().flat_map(|from| regions.iter().map(move |to| (*from, *to)));
     let zones = |name: &str| vec![zone(name, 0), zone(name, 1)];
     Network {
+        blocks: Vec::new(),
         regions: regions.iter().map(|n| Region { id: region(n), zones: zones(n) }).collect(),
         links: pairs.filter(|(from, to)| from != to).map(|(from, to)| link(from, to)).collect(),
         owner_shards: 1,
--- a/foxtail-node/src/lib.rs
+++ b/foxtail-node/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Node::start`] takes checked [`Settings`] and the [`Ports`] to the outside; [`Node::stop`] ends
 //! it gracefully and tells how that went.
 
+mod blocks;
 mod caller;
 pub mod decisions;
 mod fleet;
--- a/foxtail-node/src/limits.rs
+++ b/foxtail-node/src/limits.rs
@@ -131,7 +131,8 @@
 
 /// The configuration of a host that has none yet.
 fn nothing() -> Snapshot {
-    let network = Network { regions: Vec::new(), links: Vec::new(), owner_shards: 0 };
+    let network =
+        Network { regions: Vec::new(), links: Vec::new(), owner_shards: 0, blocks: Vec::new() };
     Snapshot {
         version: Version::default(),
         network: Arc::new(network),
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -33,7 +33,7 @@
 use crate::peer::PeerHandler;
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{limits, members, operator, ready, stop};
+use crate::{blocks, limits, members, operator, ready, stop};
 
 /// The ports to the outside.
 #[derive(Clone)]
@@ -212,6 +212,7 @@
         self.control.spawn(members::list(Arc::clone(state), list, stop.clone()));
         self.control.spawn(limits::show(Arc::clone(state), stop.clone()));
         self.control.spawn(ready::make_ready(Arc::clone(state), stop.clone()));
+        self.control.spawn(blocks::follow(Arc::clone(state), stop.clone()));
         self.control.spawn(ready::warm_ahead(Arc::clone(state), stop.clone()));
         let serving = serve_callers(Arc::clone(state), callers, self.stop_callers.clone());
         self.callers.spawn(serving);
--- a/foxtail-place/benches/lookup.rs
+++ b/foxtail-place/benches/lookup.rs
@@ -83,6 +83,7 @@
     };
     let zones = |at| (0..2).map(|zone_at| zone(at, zone_at)).collect();
     let network = Network {
+        blocks: Vec::new(),
         regions: (0..regions).map(|at| Region { id: region(at), zones: zones(at) }).collect(),
         links: pairs.map(link).collect(),
         owner_shards: 2,
--- a/foxtail-place/tests/lookup.rs
+++ b/foxtail-place/tests/lookup.rs
@@ -33,7 +33,7 @@
     };
     let pairs = [(0, 1), (1, 0), (0, 2), (2, 0), (1, 2), (2, 1)];
     let links = pairs.map(|(from, to)| link(from, to)).to_vec();
-    Network { regions: regions.collect(), links, owner_shards: 2 }
+    Network { regions: regions.collect(), links, owner_shards: 2, blocks: Vec::new() }
 }
 
 fn host(n: usize) -> HostView {
--- a/foxtail-standin/tests/net.rs
+++ b/foxtail-standin/tests/net.rs
@@ -34,7 +34,7 @@
 /// An echo server in the south and connections from the north.
 async fn rig() -> Rig {
     let links = vec![link("north", "south"), link("south", "north")];
-    let network = Network { regions: vec![], links, owner_shards: 1 };
+    let network = Network { regions: vec![], links, owner_shards: 1, blocks: vec![] };
     let options = Options { zone_round_trip: Millis(1), client_round_trip: Millis(2) };
     let fabric = Fabric::new(&network, options);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
