--- a/foxtail-node/src/limits.rs
+++ b/foxtail-node/src/limits.rs
@@ -91,7 +91,7 @@
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
         let hosted = state.owners.hosted();
         for shard in hosted.shards() {
-            let shown = hosted.with(&shard, |owner, now| {
+            hosted.with(&shard, |owner, now| {
                 for (pool, usage) in owner.usage(now) {
                     let free = usage.slots.saturating_sub(usage.used + usage.withheld);
                     let share = f64::from(free) / f64::from(usage.slots.max(1));
@@ -101,7 +101,6 @@
                     state.metrics.headroom("link", &link.to_string(), share);
                 }
             });
-            tracing::trace!(event = "headroom_shown", shard = ?shard, owned = shown.is_some());
         }
     }
 }
--- a/foxtail-node/src/node.rs
+++ b/foxtail-node/src/node.rs
@@ -122,11 +122,6 @@
         self.state.warm.load(Ordering::SeqCst)
     }
 
-    /// The configuration it holds.
-    pub fn version(&self) -> Version {
-        self.state.status().version
-    }
-
     /// The configuration it holds, and how far that has got.
     pub fn config(&self) -> (Version, Reach) {
         self.state.spread.reach()
