--- /dev/null
+++ b/foxtail-entry/src/answer.rs
@@ -0,0 +1,56 @@
+//! Answers of the host's own.
+
+use bytes::Bytes;
+use foxtail_net::http::{Body, body_of};
+use foxtail_types::outcome::Reason;
+use foxtail_types::prelude::*;
+use hyper::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// Why a request ended without an upstream's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: Reason,
+    /// When to come back, where the request has not run.
+    pub(crate) retry_after: Option<Millis>,
+}
+
+impl Refusal {
+    /// The request did not run and will not; it may come back after `retry_after`.
+    pub(crate) fn not_run(reason: Reason, retry_after: Millis) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self { status, reason, retry_after: Some(retry_after) }
+    }
+
+    /// The request may have run.
+    pub(crate) fn unknown(status: StatusCode, reason: Reason) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+
+    /// The request is wrong as it stands.
+    pub(crate) fn wrong(status: StatusCode, reason: Reason) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+
+    /// The answer to the caller.
+    pub(crate) fn response(&self) -> Response<Body> {
+        let mut response = text(self.status, self.reason.as_str().to_owned());
+        if let Some(after) = self.retry_after {
+            let secs = format!("{:.3}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&secs) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+/// A short answer in plain text.
+pub(crate) fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(body_of(body.into()));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
--- /dev/null
+++ b/foxtail-entry/src/cx.rs
@@ -0,0 +1,74 @@
+//! What all parts of a host share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use foxtail_steer::{Fleet, Steering};
+use foxtail_types::prelude::*;
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::ports::{Dialect, Store};
+use crate::settings::Settings;
+
+/// What all parts of a host share.
+pub(crate) struct Cx {
+    pub(crate) settings: Mutex<Arc<Settings>>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) steering: Mutex<Steering>,
+    pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    pub(crate) life: Life,
+    pub(crate) requests: AtomicU64,
+    /// Bytes of request bodies that are held.
+    pub(crate) body_bytes: AtomicU64,
+}
+
+/// How far the host is, as its tasks see it.
+#[derive(Default)]
+pub(crate) struct Life {
+    operators_read: AtomicBool,
+    upstreams_read: AtomicBool,
+    /// Told to stop: answers close their connections.
+    pub(crate) leaving: AtomicBool,
+    /// Idle connections are closed, and no new ones are taken.
+    pub(crate) closing: CancellationToken,
+    /// Everything ends.
+    pub(crate) ended: CancellationToken,
+}
+
+impl Cx {
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Whether the host serves callers.
+    pub(crate) fn serving(&self) -> bool {
+        self.life.knows_all() && !self.life.leaving()
+    }
+}
+
+impl Life {
+    /// Notes that what operators wrote was read; tells whether the host became able to serve.
+    pub(crate) fn read_operators(&self) -> bool {
+        !self.operators_read.swap(true, Ordering::Relaxed) && self.knows_all()
+    }
+
+    /// Notes that the upstreams were read; tells whether the host became able to serve.
+    pub(crate) fn read_upstreams(&self) -> bool {
+        !self.upstreams_read.swap(true, Ordering::Relaxed) && self.knows_all()
+    }
+
+    pub(crate) fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    fn knows_all(&self) -> bool {
+        self.operators_read.load(Ordering::Relaxed) && self.upstreams_read.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/gossip.rs
@@ -0,0 +1,160 @@
+//! Sends digests to other hosts and takes in theirs, over UDP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use foxtail_steer::fleet::{Digest, PERIOD, Phase};
+use foxtail_types::prelude::*;
+use rand::seq::IndexedRandom;
+use tokio::net::UdpSocket;
+
+use crate::cx::Cx;
+use crate::ports::Area;
+
+/// The largest digest that is taken in, in bytes.
+const DIGEST_MOST: usize = 16 * 1024;
+
+/// How much the last period moves the rate of requests.
+const RATE_LEARN: f64 = 0.3;
+
+/// The pause before registering is tried again.
+const REGISTER_AGAIN: Millis = Millis(700);
+
+/// Takes in digests until the host ends.
+pub(crate) async fn receive(cx: Arc<Cx>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; DIGEST_MOST];
+    loop {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buf) => received,
+            () = cx.life.ended.cancelled() => return,
+        };
+        let (len, from) = match received {
+            Ok(received) => received,
+            Err(e) => {
+                // An earlier digest met a closed port; the next one may arrive.
+                tracing::debug!(event = "digest_not_received", error = %e);
+                continue;
+            }
+        };
+        let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) else {
+            tracing::debug!(event = "digest_unreadable", %from, len);
+            continue;
+        };
+        take_in(&cx, &socket, &digest).await;
+    }
+}
+
+async fn take_in(cx: &Cx, socket: &UdpSocket, digest: &Digest) {
+    cx.metrics.digest();
+    let now = cx.now();
+    let reply = {
+        let mut fleet = cx.fleet.lock();
+        for (host, phase) in fleet.receive(digest, now) {
+            tracing::info!(event = "host", %host, ?phase, heard_from = %digest.from.id);
+        }
+        digest.reply.then(|| fleet.digest(now, false))
+    };
+    if let Some(reply) = reply {
+        send(socket, &reply, digest.from.peer).await;
+    }
+}
+
+/// Sends digests to one host of the own region and one of another in each period.
+pub(crate) async fn send_digests(cx: Arc<Cx>, socket: Arc<UdpSocket>) {
+    let mut ticks = tokio::time::interval(PERIOD.duration());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut rate = 0.0;
+    let mut counted = cx.requests.load(Ordering::Relaxed);
+    let mut at = cx.now();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = cx.life.ended.cancelled() => return,
+        }
+        let now = cx.now();
+        let requests = cx.requests.load(Ordering::Relaxed);
+        let span = now.since(at).as_secs_f64();
+        if span > 0.0 {
+            rate += RATE_LEARN * ((requests - counted) as f64 / span - rate);
+        }
+        (counted, at) = (requests, now);
+        let (digest, near, far) = {
+            let mut fleet = cx.fleet.lock();
+            fleet.set_rate(rate);
+            let (near, far) = fleet.targets();
+            (fleet.digest(now, false), near, far)
+        };
+        let chosen = [near.choose(&mut rand::rng()).copied(), far.choose(&mut rand::rng()).copied()];
+        for to in chosen.into_iter().flatten() {
+            send(&socket, &digest, to).await;
+        }
+    }
+}
+
+/// Tells all hosts at once how far this one is.
+pub(crate) async fn announce(cx: &Cx, socket: &UdpSocket, reply: bool) {
+    let now = cx.now();
+    let (digest, near, far) = {
+        let mut fleet = cx.fleet.lock();
+        let (near, far) = fleet.targets();
+        (fleet.digest(now, reply), near, far)
+    };
+    for to in near.into_iter().chain(far) {
+        send(socket, &digest, to).await;
+    }
+}
+
+/// Registers the host and greets those that registered before it.
+pub(crate) async fn join(cx: Arc<Cx>, socket: Arc<UdpSocket>) {
+    let joining = async {
+        let record = cx.fleet.lock().me().clone();
+        while let Err(e) = cx.store.register(&record).await {
+            tracing::warn!(event = "not_registered", error = %e);
+            tokio::time::sleep(REGISTER_AGAIN.duration()).await;
+        }
+        loop {
+            match cx.store.read(Area::Hosts).await {
+                Ok(facts) => {
+                    let mut fleet = cx.fleet.lock();
+                    for fact in facts.facts {
+                        if let crate::ports::Fact::Host(record) = fact {
+                            fleet.learn(record);
+                        }
+                    }
+                    break;
+                }
+                Err(e) => {
+                    tracing::warn!(event = "hosts_not_read", error = %e);
+                    tokio::time::sleep(REGISTER_AGAIN.duration()).await;
+                }
+            }
+        }
+        let known = cx.fleet.lock().registered();
+        tracing::info!(event = "registered", hosts = known);
+        announce(&cx, &socket, true).await;
+    };
+    tokio::select! {
+        () = joining => {}
+        () = cx.life.ended.cancelled() => {}
+    }
+}
+
+/// Moves the host on to `phase` and tells the others.
+pub(crate) async fn enter(cx: &Cx, socket: &UdpSocket, phase: Phase) {
+    cx.fleet.lock().set_phase(phase);
+    announce(cx, socket, false).await;
+}
+
+async fn send(socket: &UdpSocket, digest: &Digest, to: SocketAddr) {
+    let bytes = match postcard::to_stdvec(digest) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            tracing::warn!(event = "digest_not_encoded", error = %e);
+            return;
+        }
+    };
+    if let Err(e) = socket.send_to(&bytes, to).await {
+        tracing::debug!(event = "digest_not_sent", %to, error = %e);
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/lib.rs
@@ -0,0 +1,23 @@
+//! The entry host: answers look-ups, takes callers' requests and forwards them to upstreams.
+//!
+//! What it speaks with the platform, callers and upstreams comes through the ports of [`ports`];
+//! what it decides comes from `foxtail-steer`. Start one with [`Node::start`], end it with
+//! [`Node::stop`].
+
+mod answer;
+mod attempt;
+mod cx;
+mod follow;
+mod gossip;
+pub mod log;
+mod lookup;
+mod metrics;
+mod node;
+mod pool;
+pub mod ports;
+mod request;
+mod serve;
+pub mod settings;
+
+pub use node::{Node, Ports};
+pub use settings::Settings;
--- /dev/null
+++ b/foxtail-entry/src/metrics.rs
@@ -0,0 +1,110 @@
+//! The metrics of an entry host.
+
+use foxtail_metrics::TextReader;
+use foxtail_types::prelude::*;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_S: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0];
+
+/// The host's instruments.
+pub(crate) struct Metrics {
+    reader: TextReader,
+    provider: SdkMeterProvider,
+    requests: Histogram<f64>,
+    attempts: Histogram<f64>,
+    store: Histogram<f64>,
+    store_bytes: Counter<u64>,
+    connects: Counter<u64>,
+    lookups: Counter<u64>,
+    digests: Counter<u64>,
+    hosts: Gauge<u64>,
+    upstreams: Gauge<u64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let reader = TextReader::default();
+        let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
+        let meter = provider.meter("foxtailrouter");
+        let seconds = |name: &'static str, what: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .with_description(what)
+                .build()
+        };
+        Self {
+            requests: seconds("request_duration_seconds", "from a request's head to its outcome"),
+            attempts: seconds("attempt_duration_seconds", "from sending to an upstream's answer"),
+            store: seconds("store_call_duration_seconds", "calls to the platform's store"),
+            store_bytes: meter.u64_counter("store_facts_total").build(),
+            connects: meter.u64_counter("upstream_connects_total").build(),
+            lookups: meter.u64_counter("lookups_total").build(),
+            digests: meter.u64_counter("digests_received_total").build(),
+            hosts: meter.u64_gauge("hosts_alive").build(),
+            upstreams: meter.u64_gauge("upstreams_registered").build(),
+            reader,
+            provider,
+        }
+    }
+
+    pub(crate) fn request(&self, service: &str, outcome: &'static str, took: Millis) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.record(took.as_secs_f64(), &labels);
+    }
+
+    pub(crate) fn attempt(&self, service: &ServiceId, outcome: &'static str, took: Millis) {
+        let labels = [
+            KeyValue::new("service", service.as_str().to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.attempts.record(took.as_secs_f64(), &labels);
+    }
+
+    pub(crate) fn store_call(
+        &self,
+        call: &'static str,
+        outcome: &'static str,
+        facts: usize,
+        took: Millis,
+    ) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("outcome", outcome)];
+        self.store.record(took.as_secs_f64(), &labels);
+        self.store_bytes.add(facts as u64, &labels[..1]);
+    }
+
+    pub(crate) fn connect(&self, outcome: &'static str) {
+        self.connects.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn lookup(&self) {
+        self.lookups.add(1, &[]);
+    }
+
+    pub(crate) fn digest(&self) {
+        self.digests.add(1, &[]);
+    }
+
+    pub(crate) fn sizes(&self, hosts: usize, upstreams: usize) {
+        self.hosts.record(hosts as u64, &[]);
+        self.upstreams.record(upstreams as u64, &[]);
+    }
+
+    /// All metrics as text.
+    pub(crate) fn page(&self) -> String {
+        self.reader.page()
+    }
+
+    pub(crate) fn shutdown(&self) {
+        if let Err(e) = self.provider.shutdown() {
+            tracing::debug!(event = "metrics_shutdown_failed", error = %e);
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/pool.rs
@@ -0,0 +1,114 @@
+//! Connections to upstreams that are kept for the next request.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use foxtail_net::Dial;
+use foxtail_steer::Upstream;
+use foxtail_types::prelude::*;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio_util::task::TaskTracker;
+
+/// A connection is not used again after it was idle for this long, if the upstream names no time.
+const IDLE_DEFAULT: Millis = Millis(4_000);
+
+/// The part of the time named by the upstream that an idle connection is used for.
+const IDLE_SHARE_PERCENT: u64 = 70;
+
+/// A request that must not be repeated uses no connection that was idle for longer: the upstream may
+/// have forgotten it, and then nobody knows whether the request ran.
+const IDLE_ONCE: Millis = Millis(2_000);
+
+/// The most idle connections kept for one upstream.
+const IDLE_MOST: usize = 16;
+
+/// A connection that can take a request.
+pub(crate) struct Conn {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// How long the upstream keeps it when idle.
+    pub(crate) keeps_idle: Option<Millis>,
+    idle_since: Millis,
+}
+
+/// Idle connections, by upstream.
+pub(crate) struct Pool {
+    dial: Arc<dyn Dial>,
+    idle: Mutex<HashMap<UpstreamId, Vec<Conn>>>,
+    tasks: TaskTracker,
+}
+
+impl Conn {
+    fn usable(&self, idempotent: bool, now: Millis) -> bool {
+        let idle = now.since(self.idle_since);
+        let named = self.keeps_idle.map(|span| Millis(span.0 * IDLE_SHARE_PERCENT / 100));
+        let most = named.unwrap_or(IDLE_DEFAULT);
+        let most = if idempotent { most } else { most.min(IDLE_ONCE) };
+        self.sender.is_ready() && idle < most
+    }
+}
+
+impl Pool {
+    pub(crate) fn new(dial: Arc<dyn Dial>) -> Self {
+        Self { dial, idle: Mutex::default(), tasks: TaskTracker::new() }
+    }
+
+    /// An idle connection to `up` that may carry the request, the last used first.
+    pub(crate) fn take(&self, up: &UpstreamId, idempotent: bool, now: Millis) -> Option<Conn> {
+        let mut idle = self.idle.lock();
+        let conns = idle.get_mut(up)?;
+        // The oldest are at the front and go stale first.
+        let fresh = conns.iter().position(|conn| conn.usable(true, now)).unwrap_or(conns.len());
+        conns.drain(..fresh);
+        let at = conns.iter().rposition(|conn| conn.usable(idempotent, now))?;
+        Some(conns.remove(at))
+    }
+
+    /// Keeps `conn` for the next request.
+    pub(crate) fn put(&self, up: &UpstreamId, mut conn: Conn, now: Millis) {
+        if conn.sender.is_closed() {
+            return;
+        }
+        conn.idle_since = now;
+        let mut idle = self.idle.lock();
+        if !idle.contains_key(up) {
+            idle.insert(up.clone(), Vec::new());
+        }
+        let conns = idle.get_mut(up).expect("inserted above");
+        conns.push(conn);
+        if conns.len() > IDLE_MOST {
+            conns.remove(0);
+        }
+    }
+
+    /// Drops the idle connections of upstreams that `keep` does not name.
+    pub(crate) fn retain(&self, keep: impl Fn(&UpstreamId) -> bool) {
+        self.idle.lock().retain(|id, _| keep(id));
+    }
+
+    /// A new connection to `up`.
+    pub(crate) async fn connect(&self, up: &Upstream, now: Millis) -> io::Result<Conn> {
+        let stream = self.dial.dial(up.addr).await?;
+        let (sender, conn) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        self.tasks.spawn(async move {
+            if let Err(e) = conn.await {
+                tracing::trace!(event = "upstream_connection_ended", error = %e);
+            }
+        });
+        Ok(Conn { sender, keeps_idle: None, idle_since: now })
+    }
+
+    /// Closes all idle connections and waits for the rest to end.
+    pub(crate) async fn close(&self) {
+        self.idle.lock().clear();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/serve.rs
@@ -0,0 +1,113 @@
+//! Listeners and their connections.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use foxtail_net::http::Body;
+use foxtail_types::prelude::*;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::cx::Cx;
+use crate::{lookup, request};
+
+/// The listen queue: callers that connect at one moment.
+const BACKLOG: u32 = 1_024;
+
+/// After a failed accept, most likely for want of descriptors, the listener rests this long.
+const ACCEPT_REST: Millis = Millis(50);
+
+/// The smallest buffer that the HTTP library takes for a request's head, in bytes.
+const HEAD_BYTES_LEAST: usize = 8 * 1024;
+
+/// What a listener serves.
+#[id]
+pub(crate) enum Serves {
+    /// Callers' requests.
+    Requests,
+    /// Look-ups.
+    Lookups,
+    /// The platform's health checks.
+    Health,
+    /// The page of metrics.
+    Metrics,
+}
+
+/// Opens a listener at `addr`.
+pub(crate) fn listen(addr: SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4().context("no socket")?;
+    socket.set_reuseaddr(true).context("no address reuse")?;
+    socket.bind(addr).with_context(|| format!("can't listen for {what} at {addr}"))?;
+    socket.listen(BACKLOG).with_context(|| format!("can't listen for {what} at {addr}"))
+}
+
+/// Accepts connections until `stop`, and spawns each into `conns`.
+pub(crate) async fn accept(
+    cx: Arc<Cx>,
+    listener: TcpListener,
+    serves: Serves,
+    conns: TaskTracker,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                conns.spawn(connection(Arc::clone(&cx), stream, serves));
+            }
+            Err(e) => {
+                tracing::warn!(event = "accept_failed", ?serves, error = %e);
+                tokio::time::sleep(ACCEPT_REST.duration()).await;
+            }
+        }
+    }
+}
+
+async fn connection(cx: Arc<Cx>, stream: TcpStream, serves: Serves) {
+    if let Err(e) = stream.set_nodelay(true) {
+        tracing::debug!(event = "no_delay_refused", error = %e);
+    }
+    let limits = cx.steering.lock().config().map(|cfg| cfg.limits).unwrap_or_default();
+    let closing = cx.life.closing.clone();
+    let service = service_fn(|req: Request<Incoming>| {
+        let cx = Arc::clone(&cx);
+        async move { Ok::<Response<Body>, Infallible>(answer(cx, req, serves).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library's timeout for a head also runs while a connection is idle.
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout).duration())
+        .max_buf_size(limits.head_bytes.max(HEAD_BYTES_LEAST))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(conn);
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = closing.cancelled() => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(e) = ended {
+        tracing::debug!(event = "caller_connection_ended", error = %e);
+    }
+}
+
+async fn answer(cx: Arc<Cx>, req: Request<Incoming>, serves: Serves) -> Response<Body> {
+    match serves {
+        Serves::Requests => request::handle(cx, req).await,
+        Serves::Lookups => lookup::lookup(&cx, &req),
+        Serves::Health => lookup::health(&cx, &req),
+        Serves::Metrics => lookup::metrics(&cx, &req),
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/settings.rs
@@ -0,0 +1,158 @@
+//! The settings file of an entry host, in JSON.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use anyhow::Context;
+use foxtail_steer::fleet::Record;
+use foxtail_steer::{retry, steering};
+use foxtail_types::prelude::*;
+use garde::Validate;
+use serde::{Deserialize, Serialize};
+
+/// The settings of one entry host. Unknown fields are errors.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The host's name.
+    #[garde(skip)]
+    pub host: HostId,
+    /// Its region.
+    #[garde(skip)]
+    pub region: RegionId,
+    /// Its availability zone.
+    #[garde(custom(is_known_zone(&self.zones)))]
+    pub zone: ZoneId,
+    /// The region of each zone.
+    #[garde(length(min = 1, max = 1_024))]
+    pub zones: BTreeMap<ZoneId, RegionId>,
+    /// Where callers send requests.
+    #[garde(skip)]
+    pub caller: SocketAddr,
+    /// Where callers ask which hosts to use.
+    #[garde(skip)]
+    pub lookup: SocketAddr,
+    /// Where the platform checks whether the host is ready.
+    #[garde(skip)]
+    pub health: SocketAddr,
+    /// Where other hosts send digests, over UDP.
+    #[garde(skip)]
+    pub peer: SocketAddr,
+    /// Where the metrics are served as text, if anywhere.
+    #[garde(skip)]
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store.
+    #[garde(skip)]
+    pub store: SocketAddr,
+    /// How long the process may take to stop, in seconds.
+    #[garde(range(min = 1.0, max = 600.0))]
+    pub stop_s: f64,
+    /// How long callers may keep the answer to a look-up, in seconds.
+    #[garde(range(min = 0.1, max = 60.0))]
+    pub lookup_ttl_s: f64,
+    /// The fleet's retry budget.
+    #[garde(dive)]
+    pub retry: Retry,
+    /// A request is refused if all slots are taken and its answer is expected later than this many
+    /// latency objectives.
+    #[garde(range(min = 0.5, max = 100.0))]
+    #[serde(default = "refuse_factor_default")]
+    pub refuse_factor: f64,
+}
+
+/// How much of a service's load may be requests that are sent once more.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Retry {
+    /// Retries for each request.
+    #[garde(range(min = 0.0, max = 10.0))]
+    pub ratio: f64,
+    /// Retries beside the ratio in each window, over all hosts.
+    #[garde(range(min = 0.0, max = 1_000_000.0))]
+    pub slack: f64,
+    /// The window, in seconds.
+    #[garde(range(min = 0.1, max = 3_600.0))]
+    pub window_s: f64,
+}
+
+/// Waiting up to this many objectives is worth more than a refusal; see docs/design/steering.md.
+fn refuse_factor_default() -> f64 {
+    1.4
+}
+
+fn is_known_zone(
+    zones: &BTreeMap<ZoneId, RegionId>,
+) -> impl FnOnce(&ZoneId, &()) -> garde::Result + '_ {
+    move |zone, ()| {
+        if zones.contains_key(zone) {
+            return Ok(());
+        }
+        Err(garde::Error::new(format!("zone `{zone}` is missing in `zones`")))
+    }
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be read, is no JSON of this form, or a value is out of its bounds; the error
+    /// names the field.
+    pub fn load(path: &Path) -> anyhow::Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("can't read settings `{}`", path.display()))?;
+        Self::parse(&text).with_context(|| format!("settings `{}`", path.display()))
+    }
+
+    /// Takes settings from JSON text.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Settings::load`].
+    pub fn parse(text: &str) -> anyhow::Result<Self> {
+        let settings: Settings = serde_json::from_str(text)?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    /// The host's registration.
+    pub fn record(&self) -> Record {
+        Record {
+            id: self.host.clone(),
+            region: self.region.clone(),
+            zone: self.zone.clone(),
+            caller: self.caller,
+            peer: self.peer,
+        }
+    }
+
+    /// How the host decides.
+    pub fn steering(&self) -> steering::Options {
+        steering::Options {
+            host: self.host.clone(),
+            region: self.region.clone(),
+            zones: self.zones.clone(),
+            retry: retry::Options {
+                ratio: self.retry.ratio,
+                slack: self.retry.slack,
+                window: millis(self.retry.window_s),
+            },
+            refuse_factor: self.refuse_factor,
+        }
+    }
+
+    /// How long the process may take to stop.
+    pub fn stop(&self) -> Millis {
+        millis(self.stop_s)
+    }
+
+    /// How long callers may keep the answer to a look-up.
+    pub fn lookup_ttl(&self) -> Millis {
+        millis(self.lookup_ttl_s)
+    }
+}
+
+fn millis(secs: f64) -> Millis {
+    Millis((secs * 1_000.0).max(0.0) as u64)
+}
--- /dev/null
+++ b/foxtail-metrics/src/lib.rs
@@ -0,0 +1,111 @@
+//! A reader of OpenTelemetry metrics that shows them as text, one value a line.
+
+use std::fmt::Write;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::metrics::data::{AggregatedMetrics, MetricData, ResourceMetrics};
+use opentelemetry_sdk::metrics::reader::MetricReader;
+use opentelemetry_sdk::metrics::{InstrumentKind, ManualReader, Pipeline, Temporality};
+
+/// A manual reader that both the provider and the page of metrics hold.
+#[derive(Clone, Debug)]
+pub struct TextReader(Arc<ManualReader>);
+
+impl Default for TextReader {
+    fn default() -> Self {
+        Self(Arc::new(ManualReader::default()))
+    }
+}
+
+impl TextReader {
+    /// All metrics as text, in the exposition format of Prometheus.
+    pub fn page(&self) -> String {
+        let mut collected = ResourceMetrics::default();
+        let mut page = String::new();
+        if let Err(e) = self.0.collect(&mut collected) {
+            let _ = writeln!(page, "# metrics not collected: {e}");
+        }
+        for metric in collected.scope_metrics().flat_map(|scope| scope.metrics()) {
+            match metric.data() {
+                AggregatedMetrics::F64(data) => render(&mut page, metric.name(), data),
+                AggregatedMetrics::U64(data) => render(&mut page, metric.name(), data),
+                AggregatedMetrics::I64(data) => render(&mut page, metric.name(), data),
+            }
+        }
+        page
+    }
+}
+
+impl MetricReader for TextReader {
+    fn register_pipeline(&self, pipeline: Weak<Pipeline>) {
+        self.0.register_pipeline(pipeline);
+    }
+
+    fn collect(&self, metrics: &mut ResourceMetrics) -> OTelSdkResult {
+        self.0.collect(metrics)
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        self.0.force_flush()
+    }
+
+    fn shutdown_with_timeout(&self, timeout: Duration) -> OTelSdkResult {
+        self.0.shutdown_with_timeout(timeout)
+    }
+
+    fn temporality(&self, kind: InstrumentKind) -> Temporality {
+        self.0.temporality(kind)
+    }
+}
+
+fn render<T: Copy + std::fmt::Display>(page: &mut String, name: &str, data: &MetricData<T>) {
+    match data {
+        MetricData::Gauge(gauge) => {
+            for point in gauge.data_points() {
+                line(page, name, &labels(point.attributes()), point.value());
+            }
+        }
+        MetricData::Sum(sum) => {
+            for point in sum.data_points() {
+                line(page, name, &labels(point.attributes()), point.value());
+            }
+        }
+        MetricData::Histogram(histogram) => {
+            for point in histogram.data_points() {
+                let labels = labels(point.attributes());
+                line(page, &format!("{name}_count"), &labels, point.count());
+                line(page, &format!("{name}_sum"), &labels, point.sum());
+                buckets(page, name, &labels, point.bounds(), point.bucket_counts());
+            }
+        }
+        MetricData::ExponentialHistogram(_) => {}
+    }
+}
+
+fn buckets(
+    page: &mut String,
+    name: &str,
+    labels: &str,
+    bounds: impl Iterator<Item = f64>,
+    counts: impl Iterator<Item = u64>,
+) {
+    let bounds = bounds.map(|bound| bound.to_string()).chain(["+Inf".to_owned()]);
+    let mut total = 0;
+    for (bound, count) in bounds.zip(counts) {
+        total += count;
+        let comma = if labels.is_empty() { "" } else { "," };
+        line(page, &format!("{name}_bucket"), &format!("{labels}{comma}le=\"{bound}\""), total);
+    }
+}
+
+fn line(page: &mut String, name: &str, labels: &str, value: impl std::fmt::Display) {
+    let _ = writeln!(page, "{name}{{{labels}}} {value}");
+}
+
+fn labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>) -> String {
+    let pairs: Vec<_> = attributes.map(|kv| format!("{}=\"{}\"", kv.key, kv.value)).collect();
+    pairs.join(",")
+}
--- a/foxtail-net/src/dial.rs
+++ b/foxtail-net/src/dial.rs
@@ -5,6 +5,8 @@
 
 use async_trait::async_trait;
 use tokio::io::{AsyncRead, AsyncWrite};
+use foxtail_time::Millis;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 /// A byte stream in both directions.
@@ -35,3 +37,26 @@
         Ok(Box::new(stream))
     }
 }
+
+/// TCP that notices a silent peer: a connection that is not taken in time, or whose bytes are not
+/// acknowledged in time, ends with an error.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchedDial {
+    /// The longest that connecting may take.
+    pub connect: Millis,
+    /// The longest that sent bytes may stay unacknowledged.
+    pub unacknowledged: Millis,
+}
+
+#[async_trait]
+impl Dial for WatchedDial {
+    async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        let connecting = TcpStream::connect(to);
+        let stream = tokio::time::timeout(self.connect.duration(), connecting)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(self.unacknowledged.duration()))?;
+        Ok(Box::new(stream))
+    }
+}
--- a/foxtail-net/src/lib.rs
+++ b/foxtail-net/src/lib.rs
@@ -3,4 +3,4 @@
 mod dial;
 pub mod http;
 
-pub use dial::{Dial, Stream, TcpDial};
+pub use dial::{Dial, Stream, TcpDial, WatchedDial};
--- /dev/null
+++ b/foxtail-steer/src/estimate.rs
@@ -0,0 +1,51 @@
+//! How long requests take at upstreams, learned from answers.
+
+use foxtail_types::prelude::*;
+
+/// How much one answer moves an estimate.
+const LEARN: f64 = 0.1;
+
+/// Before any answer, work on an object that is not cached is taken for this many objectives.
+const FIRST_COLD: f64 = 1.2;
+
+/// Before any answer, work on a cached object is taken for this many objectives.
+const FIRST_WARM: f64 = 0.4;
+
+/// Answers outside of these multiples of the nearer estimate tell of a slow upstream or a short
+/// error, not of the kind of work, and do not move it.
+const PLAUSIBLE: std::ops::Range<f64> = 0.3..2.5;
+
+/// The work of one kind of request: those with one objective at one service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Work {
+    /// At an upstream that has the object cached, in milliseconds.
+    pub(crate) warm_ms: f64,
+    /// At an upstream that has not.
+    pub(crate) cold_ms: f64,
+    /// Over all answers.
+    pub(crate) mean_ms: f64,
+}
+
+impl Work {
+    /// What is assumed before any answer.
+    pub(crate) fn new(objective: Millis) -> Self {
+        let aim = objective.0 as f64;
+        Self { warm_ms: aim * FIRST_WARM, cold_ms: aim * FIRST_COLD, mean_ms: aim * FIRST_COLD }
+    }
+
+    /// Whether work of `took_ms` is more like work on an object that was not cached.
+    pub(crate) fn looks_cold(&self, took_ms: f64) -> bool {
+        took_ms * took_ms > self.warm_ms * self.cold_ms
+    }
+
+    /// Learns from an answer of an upstream that normally takes `pace` times as long as others.
+    pub(crate) fn learn(&mut self, took_ms: f64, pace: f64) {
+        let took_ms = took_ms / pace.max(0.1);
+        let cold = self.looks_cold(took_ms);
+        let nearer = if cold { &mut self.cold_ms } else { &mut self.warm_ms };
+        if PLAUSIBLE.contains(&(took_ms / nearer.max(1.0))) {
+            *nearer += LEARN * (took_ms - *nearer);
+            self.mean_ms += LEARN * (took_ms - self.mean_ms);
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-steer/src/fleet.rs
@@ -0,0 +1,276 @@
+//! What a host believes of the other hosts, from digests that hosts send each other.
+//!
+//! Each host counts a beat up. Digests carry the highest beat that the sender has seen of every
+//! host, so that a beat reaches all within a few rounds however the digests travel; a host whose
+//! beat has not risen for a while is taken for dead.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use foxtail_macro::{id, value};
+use foxtail_types::prelude::*;
+
+use crate::rendezvous;
+
+/// How often a host sends digests.
+pub const PERIOD: Millis = Millis(400);
+
+/// A host whose beat has not risen for this long is taken for dead: several rounds of digests, each
+/// of which may be lost.
+pub const SILENCE: Millis = Millis(2_500);
+
+/// How many requests a second one entry host is given before callers are sent to one more.
+const HOST_RATE: f64 = 70.0;
+
+/// The fewest entry hosts that callers of a region are told to use, so that one may die.
+const ENTRIES_LEAST: usize = 2;
+
+/// The most entry hosts in one answer.
+const ENTRIES_MOST: usize = 64;
+
+/// One host, as it registers itself.
+#[value]
+pub struct Record {
+    /// The host.
+    pub id: HostId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Where callers reach it.
+    pub caller: SocketAddr,
+    /// Where other hosts reach it.
+    pub peer: SocketAddr,
+}
+
+/// How far a host is in its life.
+#[id]
+pub enum Phase {
+    /// It has no configuration yet.
+    Starting,
+    /// It serves callers.
+    Serving,
+    /// It was told to stop.
+    Leaving,
+}
+
+/// What a digest says of one host.
+#[value]
+pub struct Beat {
+    /// A digest of the host's name.
+    pub host: u32,
+    /// Rises as long as the host lives, also over its restarts.
+    pub beat: u64,
+    /// How far it is.
+    pub phase: Phase,
+    /// Callers' requests a second.
+    pub rate: u16,
+}
+
+/// What hosts send each other.
+#[value]
+pub struct Digest {
+    /// The sender.
+    pub from: Record,
+    /// What it knows of all hosts, itself first.
+    pub beats: Vec<Beat>,
+    /// Whether the receiver should send its own at once.
+    pub reply: bool,
+}
+
+/// A host and what is believed of it.
+#[derive(Clone, Debug)]
+struct Peer {
+    record: Record,
+    beat: u64,
+    heard: Option<Millis>,
+    phase: Phase,
+    rate: u16,
+}
+
+/// What a host believes of the fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    me: HostId,
+    peers: BTreeMap<u32, Peer>,
+    /// Beat minus local time, fixed at the start.
+    beat_offset: u64,
+}
+
+impl Fleet {
+    /// A fleet of which only `me` is known, at local time `now` and wall time `wall`.
+    ///
+    /// Beats count on from the wall clock, so that they rise over a restart as well.
+    pub fn new(me: Record, now: Millis, wall: Millis) -> Self {
+        let beat_offset = wall.since(now).0;
+        let id = me.id.clone();
+        let own = Peer {
+            record: me,
+            beat: beat_offset + now.0,
+            heard: Some(now),
+            phase: Phase::Starting,
+            rate: 0,
+        };
+        Self { me: id.clone(), peers: BTreeMap::from([(short(&id), own)]), beat_offset }
+    }
+
+    /// This host's own record.
+    pub fn me(&self) -> &Record {
+        &self.peers[&short(&self.me)].record
+    }
+
+    /// How far this host is.
+    pub fn phase(&self) -> Phase {
+        self.peers[&short(&self.me)].phase
+    }
+
+    /// Moves this host on to `phase`.
+    pub fn set_phase(&mut self, phase: Phase) {
+        self.own().phase = phase;
+    }
+
+    /// Sets how many requests a second this host gets.
+    pub fn set_rate(&mut self, per_s: f64) {
+        self.own().rate = per_s.clamp(0.0, f64::from(u16::MAX)) as u16;
+    }
+
+    /// Learns of a host from its registration; it counts as alive once it is heard of.
+    pub fn learn(&mut self, record: Record) {
+        let key = short(&record.id);
+        match self.peers.get_mut(&key) {
+            Some(peer) if record.id != self.me => peer.record = record,
+            Some(_) => {}
+            None => {
+                let phase = Phase::Starting;
+                self.peers.insert(key, Peer { record, beat: 0, heard: None, phase, rate: 0 });
+            }
+        }
+    }
+
+    /// Takes in a digest, and tells whether a host came up or changed its phase.
+    pub fn receive(&mut self, digest: &Digest, now: Millis) -> Vec<(HostId, Phase)> {
+        let mut changed = Vec::new();
+        self.learn(digest.from.clone());
+        for beat in &digest.beats {
+            let Some(peer) = self.peers.get_mut(&beat.host) else { continue };
+            if peer.record.id == self.me || beat.beat <= peer.beat {
+                continue;
+            }
+            let was_alive = alive(peer, now);
+            if !was_alive || peer.phase != beat.phase {
+                changed.push((peer.record.id.clone(), beat.phase));
+            }
+            peer.beat = beat.beat;
+            peer.heard = Some(now);
+            peer.phase = beat.phase;
+            peer.rate = beat.rate;
+        }
+        changed
+    }
+
+    /// This host's digest at `now`.
+    pub fn digest(&mut self, now: Millis, reply: bool) -> Digest {
+        let beat = self.beat_offset + now.0;
+        let own = self.own();
+        own.beat = own.beat.max(beat);
+        own.heard = Some(now);
+        let from = own.record.clone();
+        let first = short(&from.id);
+        let mine = std::iter::once(&first);
+        let others = self.peers.keys().filter(|key| **key != first);
+        let beats = mine
+            .chain(others)
+            .filter_map(|key| {
+                let peer = &self.peers[key];
+                let known = alive(peer, now);
+                let Peer { beat, phase, rate, .. } = *peer;
+                known.then_some(Beat { host: *key, beat, phase, rate })
+            })
+            .collect();
+        Digest { from, beats, reply }
+    }
+
+    /// Where digests may be sent: all hosts but this one, those of its region first.
+    pub fn targets(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let region = &self.me().region;
+        let others = self.peers.values().filter(|peer| peer.record.id != self.me);
+        let (near, far): (Vec<_>, Vec<_>) = others.partition(|peer| peer.record.region == *region);
+        let addrs = |peers: Vec<&Peer>| peers.iter().map(|peer| peer.record.peer).collect();
+        (addrs(near), addrs(far))
+    }
+
+    /// How many hosts are known, dead or alive.
+    pub fn registered(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// How many hosts are alive.
+    pub fn alive(&self, now: Millis) -> usize {
+        self.peers.values().filter(|peer| alive(peer, now)).count()
+    }
+
+    /// The hosts that callers in `region` are told to use, with their requests' rate in mind.
+    ///
+    /// Callers are gathered on as few hosts as carry them: a host that sees more of the requests
+    /// knows the upstreams' load better and makes fewer connections. The chosen ones differ in
+    /// zone, and every host chooses the same.
+    pub fn entries(&self, region: &RegionId, zone: &ZoneId, now: Millis) -> Vec<&Record> {
+        let mut found = self.active(region, now);
+        if found.is_empty() {
+            let regions: std::collections::BTreeSet<&RegionId> =
+                self.peers.values().map(|peer| &peer.record.region).collect();
+            found = regions.into_iter().flat_map(|region| self.active(region, now)).collect();
+        }
+        found.sort_by_key(|record| record.zone != *zone);
+        found.truncate(ENTRIES_MOST);
+        found
+    }
+
+    /// The host that sends to the cold upstream `name` of `region`.
+    pub fn sender(&self, region: &RegionId, name: &str, now: Millis) -> Option<&HostId> {
+        let key = rendezvous::digest(name);
+        let near = self.active(region, now);
+        let among = if near.is_empty() { self.active(&self.me().region, now) } else { near };
+        among.iter().map(|r| &r.id).max_by_key(|id| rendezvous::weight(key, id.as_str()))
+    }
+
+    /// The hosts of `region` that callers use.
+    fn active(&self, region: &RegionId, now: Millis) -> Vec<&Record> {
+        let serving = |peer: &&Peer| {
+            peer.record.region == *region && peer.phase == Phase::Serving && alive(peer, now)
+        };
+        let mut hosts: Vec<&Peer> = self.peers.values().filter(serving).collect();
+        let rate: f64 = hosts.iter().map(|peer| f64::from(peer.rate)).sum();
+        let wanted = ((rate / HOST_RATE).ceil() as usize).max(ENTRIES_LEAST);
+        let key = rendezvous::digest(region.as_str());
+        hosts.sort_by_key(|peer| {
+            std::cmp::Reverse(rendezvous::weight(key, peer.record.id.as_str()))
+        });
+        spread_over_zones(hosts, wanted)
+    }
+
+    fn own(&mut self) -> &mut Peer {
+        self.peers.get_mut(&short(&self.me)).expect("a host always knows itself")
+    }
+}
+
+/// Takes `wanted` hosts in their order, one from each zone before a second from any.
+fn spread_over_zones(hosts: Vec<&Peer>, wanted: usize) -> Vec<&Record> {
+    let mut taken: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+    let mut ranked: Vec<(usize, usize, &Record)> = Vec::new();
+    for (place, peer) in hosts.into_iter().enumerate() {
+        let round = taken.entry(&peer.record.zone).or_default();
+        ranked.push((*round, place, &peer.record));
+        *round += 1;
+    }
+    ranked.sort_by_key(|&(round, place, _)| (round, place));
+    ranked.into_iter().take(wanted).map(|(_, _, record)| record).collect()
+}
+
+fn alive(peer: &Peer, now: Millis) -> bool {
+    peer.heard.is_some_and(|heard| now.since(heard) <= SILENCE)
+}
+
+fn short(id: &HostId) -> u32 {
+    rendezvous::digest(id.as_str()) as u32
+}
--- /dev/null
+++ b/foxtail-steer/src/rendezvous.rs
@@ -0,0 +1,18 @@
+//! Rendezvous hashing: hosts that know the same candidates choose the same one without talking.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The weight of `candidate` for `key`; the candidate with the highest weight is chosen.
+pub fn weight(key: u64, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), key)
+}
+
+/// A short stable number for `text`.
+pub fn digest(text: &str) -> u64 {
+    xxh3_64_with_seed(text.as_bytes(), 0)
+}
+
+/// A short stable number for `bytes`.
+pub fn digest_bytes(bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, 0)
+}
--- /dev/null
+++ b/foxtail-steer/src/retry.rs
@@ -0,0 +1,60 @@
+//! The retry budget: how much of a service's load may be requests sent once more.
+
+use std::collections::HashMap;
+
+use foxtail_types::prelude::*;
+
+use crate::Bucket;
+
+/// The part of the allowed ratio and slack that is used, so that requests which end while they are
+/// counted do not push the fleet over its budget.
+const USED_SHARE: f64 = 0.8;
+
+/// What the fleet may send once more, over a sliding window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// Retries for each request of a service.
+    pub ratio: f64,
+    /// Retries that are allowed beside the ratio in each window, over all hosts.
+    pub slack: f64,
+    /// The window.
+    pub window: Millis,
+}
+
+/// This host's part of the budget: the ratio of its own requests, and an equal share of the slack.
+///
+/// Each host keeps to its part without asking the others, so that the sum holds also when hosts
+/// can't hear each other. A host that is counted as gone while it still runs is the reason for
+/// [`Fleet::registered`](crate::Fleet::registered) rather than the hosts that answer.
+#[derive(Debug)]
+pub struct RetryBudget {
+    options: Options,
+    services: HashMap<ServiceId, Bucket>,
+}
+
+impl RetryBudget {
+    /// A budget with `options`.
+    pub fn new(options: Options) -> Self {
+        Self { options, services: HashMap::new() }
+    }
+
+    /// Notes a caller's request for `service`.
+    pub fn request(&mut self, service: &ServiceId, hosts: usize, now: Millis) {
+        let ratio = self.options.ratio * USED_SHARE;
+        self.bucket(service, hosts, now).add(ratio);
+    }
+
+    /// Takes a retry for `service` out of the budget, if there is one.
+    pub fn take(&mut self, service: &ServiceId, hosts: usize, now: Millis) -> bool {
+        self.bucket(service, hosts, now).take(now)
+    }
+
+    fn bucket(&mut self, service: &ServiceId, hosts: usize, now: Millis) -> &mut Bucket {
+        let Options { slack, window, .. } = self.options;
+        let share = slack * USED_SHARE / hosts.max(1) as f64;
+        // Burst and refill within one window add up to the share of the slack.
+        let burst = (share / 2.0).max(1.0);
+        let rate = share / 2.0 / window.as_secs_f64().max(0.001);
+        self.services.entry(service.clone()).or_insert_with(|| Bucket::new(rate, burst, now))
+    }
+}
