fix(net): keep-alive probes end a long poll that a cut silenced

Cause: a host that was cut off from the store during a long poll waited for the poll's time limit (22 s), and so sent to an upstream 13.6 s after it had reported that it leaves.

--- a/foxtail-net/src/dial.rs
+++ b/foxtail-net/src/dial.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use tokio::io::{AsyncRead, AsyncWrite};
 use foxtail_time::Millis;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 /// A byte stream in both directions.
@@ -46,8 +46,14 @@
     pub connect: Millis,
     /// The longest that sent bytes may stay unacknowledged.
     pub unacknowledged: Millis,
+    /// How long a connection may be quiet before its peer is probed, and the pause between probes.
+    /// A peer that answers two probes in a row with silence is taken for gone.
+    pub probe: Millis,
 }
 
+/// Unanswered probes after which a peer is taken for gone.
+const PROBES: u32 = 2;
+
 #[async_trait]
 impl Dial for WatchedDial {
     async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
@@ -56,7 +62,11 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(self.unacknowledged.duration()))?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(self.unacknowledged.duration()))?;
+        let probe = self.probe.duration();
+        let keepalive = TcpKeepalive::new().with_time(probe).with_interval(probe);
+        socket.set_tcp_keepalive(&keepalive.with_retries(PROBES))?;
         Ok(Box::new(stream))
     }
 }
