--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -136,8 +136,11 @@
         }
         match self.area {
             Area::Upstreams => {
-                tracing::info!(event = "upstreams_read", count = upstreams.len(),
-                    version = self.version);
+                tracing::info!(
+                    event = "upstreams_read",
+                    count = upstreams.len(),
+                    version = self.version
+                );
                 self.set_upstreams(upstreams, now);
                 if self.cx.life.read_upstreams() {
                     self.cx.ready();
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -85,7 +85,8 @@
             let (near, far) = fleet.targets();
             (fleet.digest(now, false), near, far)
         };
-        let chosen = [near.choose(&mut rand::rng()).copied(), far.choose(&mut rand::rng()).copied()];
+        let chosen =
+            [near.choose(&mut rand::rng()).copied(), far.choose(&mut rand::rng()).copied()];
         for to in chosen.into_iter().flatten() {
             send(&socket, &digest, to).await;
         }
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -53,10 +53,8 @@
     }
 
     pub(crate) fn request(&self, service: &str, outcome: &'static str, took: Millis) {
-        let labels = [
-            KeyValue::new("service", service.to_owned()),
-            KeyValue::new("outcome", outcome),
-        ];
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("outcome", outcome)];
         self.requests.record(took.as_secs_f64(), &labels);
     }
 
--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -1,5 +1,6 @@
 //! A host put together: starts all of its tasks and stops them gracefully.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use foxtail_steer::{Fleet, Steering};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::task::TaskTracker;
 
 use crate::cx::{Cx, Life};
@@ -63,28 +64,29 @@
     /// # Errors
     ///
     /// If it can't listen at one of its addresses.
-    pub async fn start(settings: Settings, ports: Ports) -> anyhow::Result<Self> {
+    pub async fn start(mut settings: Settings, ports: Ports) -> anyhow::Result<Self> {
         let Ports { dial, clock, dialect, store } = ports;
-        let fleet = Fleet::new(settings.record(), clock.now(), clock.wall());
-        let steering = Steering::new(settings.steering());
         let socket = UdpSocket::bind(settings.peer)
             .await
             .with_context(|| format!("can't listen for hosts at {}", settings.peer))?;
-        let listeners = [
-            (Some(settings.caller), Serves::Requests, "callers"),
-            (Some(settings.lookup), Serves::Lookups, "look-ups"),
-            (Some(settings.health), Serves::Health, "health checks"),
-            (settings.metrics, Serves::Metrics, "metrics"),
+        settings.peer = socket.local_addr().context("no address for hosts")?;
+        let mut listeners = vec![
+            bind(&mut settings.caller, Serves::Requests)?,
+            bind(&mut settings.lookup, Serves::Lookups)?,
+            bind(&mut settings.health, Serves::Health)?,
         ];
+        if let Some(addr) = &mut settings.metrics {
+            listeners.push(bind(addr, Serves::Metrics)?);
+        }
         tracing::info!(event = "start", host = %settings.host, zone = %settings.zone,
             region = %settings.region, caller = %settings.caller);
         let cx = Arc::new(Cx {
+            steering: Mutex::new(Steering::new(settings.steering())),
+            fleet: Mutex::new(Fleet::new(settings.record(), clock.now(), clock.wall())),
             settings: Mutex::new(Arc::new(settings)),
             clock,
             dialect,
             store,
-            steering: Mutex::new(steering),
-            fleet: Mutex::new(fleet),
             pool: Pool::new(dial),
             metrics: Metrics::new(),
             life: Life::default(),
@@ -93,9 +95,7 @@
         });
         let (conns, others) = (TaskTracker::new(), TaskTracker::new());
         let node = Self { cx, socket: Arc::new(socket), tasks: TaskTracker::new(), conns, others };
-        for (addr, serves, what) in listeners {
-            let Some(addr) = addr else { continue };
-            let listener = listen(addr, what)?;
+        for (listener, serves) in listeners {
             let (conns, stop) = match serves {
                 Serves::Requests => (&node.conns, &node.cx.life.closing),
                 _ => (&node.others, &node.cx.life.ended),
@@ -107,6 +107,11 @@
         Ok(node)
     }
 
+    /// The settings in force, with the ports that were taken where they named none.
+    pub fn settings(&self) -> Arc<Settings> {
+        Arc::clone(&self.cx.settings.lock())
+    }
+
     fn spawn_followers(&self) {
         let Self { cx, socket, tasks, .. } = self;
         tasks.spawn(follow::follow(Arc::clone(cx), Area::Operators));
@@ -164,6 +169,13 @@
     }
 }
 
+/// Listens at `addr`, and writes into it the port that was taken if it names none.
+fn bind(addr: &mut SocketAddr, serves: Serves) -> anyhow::Result<(TcpListener, Serves)> {
+    let listener = listen(*addr, serves)?;
+    *addr = listener.local_addr().context("no address")?;
+    Ok((listener, serves))
+}
+
 impl Cx {
     /// Notes that the host can serve now.
     pub(crate) fn ready(&self) {
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -117,12 +117,7 @@
 }
 
 /// Reads a whole request body.
-async fn collect(
-    cx: &Cx,
-    body: Incoming,
-    most: usize,
-    until: Millis,
-) -> Result<Bytes, Refusal> {
+async fn collect(cx: &Cx, body: Incoming, most: usize, until: Millis) -> Result<Bytes, Refusal> {
     let declared = hyper::body::Body::size_hint(&body).lower();
     if cx.body_bytes.load(Ordering::Relaxed) + declared > BODIES_MOST {
         return Err(Refusal::not_run(Reason::Overloaded, SHED_AFTER));
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -42,11 +42,12 @@
 }
 
 /// Opens a listener at `addr`.
-pub(crate) fn listen(addr: SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
+pub(crate) fn listen(addr: SocketAddr, serves: Serves) -> anyhow::Result<TcpListener> {
     let socket = tokio::net::TcpSocket::new_v4().context("no socket")?;
     socket.set_reuseaddr(true).context("no address reuse")?;
-    socket.bind(addr).with_context(|| format!("can't listen for {what} at {addr}"))?;
-    socket.listen(BACKLOG).with_context(|| format!("can't listen for {what} at {addr}"))
+    let refused = || format!("can't listen for {serves:?} at {addr}");
+    socket.bind(addr).with_context(refused)?;
+    socket.listen(BACKLOG).with_context(refused)
 }
 
 /// Accepts connections until `stop`, and spawns each into `conns`.
--- /dev/null
+++ b/foxtail-entry/tests/serving.rs
@@ -0,0 +1,170 @@
+//! The whole path over the stand-ins: look-ups, requests, refusals.
+
+mod common;
+
+use common::{World, entries, exchange, ready, request, until};
+use foxtail_standin::service::Act;
+
+#[tokio::test]
+async fn a_request_arrives_unchanged_and_so_does_its_answer() {
+    let world = World::new();
+    world.configure(7);
+    let up = world.upstream("up-1", "a1").await;
+    let door = world.door().await;
+    let node = world.ready_host("h-1", "a1", &door).await;
+    let caller = node.settings().caller;
+
+    let got = exchange(caller, &request("POST", "/write/2f?a=b&c=%20", "r1", 1_500, "body")).await;
+
+    assert_eq!((got.status, got.body.as_str()), (200, "up-1 ran r1"));
+    assert_eq!(got.headers["foxtailrouter-server-seal"], "up-1.r1");
+    let seen = &up.seen()[0];
+    assert_eq!(seen.line, "POST /write/2f?a=b&c=%20 HTTP/1.1");
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.headers["host"], "svc.example");
+    assert_eq!(seen.headers["foxtailrouter-request-id"], "r1");
+    assert_eq!(seen.headers["foxtailrouter-expect-instance"], "up-1");
+    let left: u64 = seen.headers["foxtailrouter-deadline-ms"].parse().unwrap();
+    assert!((1_000..=1_500).contains(&left), "{left} ms were left");
+    node.stop().await;
+}
+
+#[tokio::test]
+async fn failures_of_an_upstream_are_passed_on_with_its_status() {
+    let world = World::new();
+    world.configure(7);
+    let up = world.upstream("up-1", "a1").await;
+    let door = world.door().await;
+    let node = world.ready_host("h-1", "a1", &door).await;
+    up.then([Act::Fail(500)]);
+
+    let got = exchange(node.settings().caller, &request("POST", "/write/1", "r1", 1_500, "")).await;
+
+    assert_eq!((got.status, got.body.as_str()), (500, "up-1 ran r1"));
+    assert_eq!(got.headers["foxtailrouter-server-seal"], "up-1.r1");
+    node.stop().await;
+}
+
+#[tokio::test]
+async fn a_path_without_route_is_not_found_and_a_host_without_configuration_says_when_to_return() {
+    let world = World::new();
+    let door = world.door().await;
+    let node = world.host("h-1", "a1", &door).await;
+    let caller = node.settings().caller;
+
+    let early = exchange(caller, &request("GET", "/read/1", "r1", 1_000, "")).await;
+    assert_eq!(early.status, 503);
+    assert!(early.headers["retry-after"].parse::<f64>().unwrap() > 0.0);
+    assert!(!ready(&node).await);
+
+    world.configure(7);
+    world.upstream("up-1", "a1").await;
+    until("the host is ready", async || ready(&node).await).await;
+    assert_eq!(exchange(caller, &request("GET", "/nowhere/", "r2", 1_000, "")).await.status, 404);
+    node.stop().await;
+}
+
+#[tokio::test]
+async fn hosts_find_each_other_through_the_store_and_name_each_other_until_one_leaves() {
+    let world = World::new();
+    world.configure(7);
+    let door = world.door().await;
+    let first = world.ready_host("h-1", "a1", &door).await;
+    let second = world.ready_host("h-2", "a2", &door).await;
+    let (one, two) = (first.settings().caller.to_string(), second.settings().caller.to_string());
+
+    until("both are named", async || {
+        let named = entries(&first).await;
+        named.contains(&one) && named.contains(&two)
+    })
+    .await;
+    let stopping = tokio::spawn(second.stop());
+    until("the leaving one is not named", async || !entries(&first).await.contains(&two)).await;
+    stopping.await.unwrap();
+    assert!(world.store.value("hosts", "h-2").is_none());
+    first.stop().await;
+}
+
+#[tokio::test]
+async fn odd_framing_never_brings_an_upstream_a_request_that_nobody_sent() {
+    let world = World::new();
+    world.configure(7);
+    let up = world.upstream("up-1", "a1").await;
+    let door = world.door().await;
+    let node = world.ready_host("h-1", "a1", &door).await;
+    let caller = node.settings().caller;
+    let head = "POST /write/1 HTTP/1.1\r\nHost: svc.example\r\nFoxtailrouter-Request-Id: odd\r\n";
+    let hidden = "GET /read/hidden HTTP/1.1\r\nHost: svc.example\r\n\
+                  Foxtailrouter-Request-Id: hidden\r\n\r\n";
+    let odd = [
+        // Both framings: the chunks end at once, and what follows stands within the length.
+        format!(
+            "{head}Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+            hidden.len() + 5
+        ),
+        format!("{head}Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!"),
+        format!("{head}Content-Length: +5\r\n\r\nhello"),
+        format!("{head}Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n"),
+        format!("{head}X-Folded: a\r\n b\r\nContent-Length: 0\r\n\r\n"),
+        format!("{head}Bad Name: x\r\nContent-Length: 0\r\n\r\n"),
+        format!("{head}X-Long: {}\r\n\r\n", "x".repeat(64 * 1024)),
+        "POST /write/1 HTTP/1.1\nHost: svc.example\nContent-Length: 3\n\nabc".to_owned(),
+    ];
+    for text in &odd {
+        let got = exchange(caller, text).await;
+        assert!(got.status < 500, "status {} for {text:.80}", got.status);
+    }
+    for seen in up.seen() {
+        let id = seen.headers["foxtailrouter-request-id"].as_str();
+        assert!(id == "odd" || (id == "hidden" && seen.line.contains("/read/hidden")), "{id}");
+        assert!(!seen.headers.contains_key("transfer-encoding"), "framing was passed on");
+        if id == "odd" {
+            assert!(!seen.body.windows(6).any(|part| part == b"hidden"));
+        }
+    }
+    node.stop().await;
+}
+
+#[tokio::test]
+async fn a_body_over_the_limit_is_refused_and_a_chunked_one_is_passed_on_whole() {
+    let world = World::new();
+    world.configure(7);
+    let up = world.upstream("up-1", "a1").await;
+    let door = world.door().await;
+    let node = world.ready_host("h-1", "a1", &door).await;
+    let caller = node.settings().caller;
+
+    let large = request("POST", "/write/1", "large", 1_500, &"x".repeat(1_048_577));
+    let got = exchange(caller, &large).await;
+    assert_eq!(got.status, 413);
+    let chunked = "POST /write/1 HTTP/1.1\r\nHost: svc.example\r\n\
+                   Foxtailrouter-Request-Id: chunked\r\nTransfer-Encoding: chunked\r\n\r\n\
+                   3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    assert_eq!(exchange(caller, chunked).await.status, 200);
+    assert_eq!(up.seen().last().unwrap().body, b"abcde");
+    assert_eq!(up.runs(), 1);
+    node.stop().await;
+}
+
+#[tokio::test]
+async fn requests_on_one_connection_are_answered_one_after_another() {
+    let world = World::new();
+    world.configure(7);
+    let _up = world.upstream("up-1", "a1").await;
+    let door = world.door().await;
+    let node = world.ready_host("h-1", "a1", &door).await;
+    let mut stream = tokio::net::TcpStream::connect(node.settings().caller).await.unwrap();
+    let two =
+        request("GET", "/read/1", "r1", 1_500, "") + &request("GET", "/read/2", "r2", 1_500, "");
+
+    let got = common::talk(&mut stream, &two).await;
+    let more = if got.body.contains("up-1 ran r2") {
+        got.body.clone()
+    } else {
+        common::talk(&mut stream, "").await.body
+    };
+
+    assert!(got.body.starts_with("up-1 ran r1"));
+    assert!(more.contains("up-1 ran r2"));
+    node.stop().await;
+}
--- a/foxtail-net/src/dial.rs
+++ b/foxtail-net/src/dial.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use tokio::io::{AsyncRead, AsyncWrite};
 use foxtail_time::Millis;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
 /// A byte stream in both directions.
--- a/foxtail-standin/src/lib.rs
+++ b/foxtail-standin/src/lib.rs
@@ -3,4 +3,6 @@
 pub mod members;
 pub mod net;
 pub mod platform;
+pub mod service;
+pub mod store;
 pub mod upstream;
--- /dev/null
+++ b/foxtail-standin/src/service.rs
@@ -0,0 +1,310 @@
+//! An upstream of the platform: runs requests of a service and misbehaves when told to.
+//!
+//! It speaks HTTP by hand, since much of what it is for are answers that no library would send.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// What an upstream does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Runs it and answers.
+    Answer,
+    /// Runs it and answers with this status.
+    Fail(u16),
+    /// Refuses it unrun.
+    Shed,
+    /// Runs it and closes the connection without an answer.
+    RunAndClose,
+    /// Runs it and sends half of the answer's body.
+    CutShort,
+    /// Runs it and answers under another request's identifier.
+    Foreign,
+    /// Runs it, answers, and sends a second answer right after.
+    AnswerTwice,
+    /// Runs it and never answers.
+    Silent,
+    /// Runs it and answers with a body that ends with the connection.
+    Unframed,
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// The request line.
+    pub line: String,
+    /// Headers with names in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Whether it was run.
+    pub run: bool,
+}
+
+/// A running upstream.
+pub struct Service {
+    id: String,
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+struct Shared {
+    id: String,
+    work: Mutex<Duration>,
+    next: Mutex<VecDeque<Act>>,
+    usual: Mutex<Act>,
+    seen: Mutex<Vec<Seen>>,
+    running: AtomicU32,
+    cancelled: AtomicU32,
+    connections: AtomicU32,
+    slots: u32,
+}
+
+impl Service {
+    /// Starts the upstream `id` with `slots` on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Whatever binding reports.
+    pub async fn start(id: &str, slots: u32) -> io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            work: Mutex::new(Duration::from_millis(5)),
+            next: Mutex::default(),
+            usual: Mutex::new(Act::Answer),
+            seen: Mutex::default(),
+            running: AtomicU32::new(0),
+            cancelled: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
+            slots,
+        });
+        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+        tasks.spawn(accept(listener, Arc::clone(&shared), stop.clone(), tasks.clone()));
+        Ok(Self { id: id.to_owned(), addr, shared, stop, tasks })
+    }
+
+    /// Its identifier.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets how long it works on a request.
+    pub fn set_work(&self, work: Duration) {
+        *self.shared.work.lock() = work;
+    }
+
+    /// Says what it does with the next requests, one after another.
+    pub fn then(&self, acts: impl IntoIterator<Item = Act>) {
+        self.shared.next.lock().extend(acts);
+    }
+
+    /// Says what it does with all requests for which nothing else was said.
+    pub fn always(&self, act: Act) {
+        *self.shared.usual.lock() = act;
+    }
+
+    /// All requests so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.shared.seen.lock().clone()
+    }
+
+    /// How many requests it ran.
+    pub fn runs(&self) -> usize {
+        self.shared.seen.lock().iter().filter(|seen| seen.run).count()
+    }
+
+    /// How many requests were cancelled by closing their connection while it worked on them.
+    pub fn cancelled(&self) -> u32 {
+        self.shared.cancelled.load(Ordering::Relaxed)
+    }
+
+    /// How many connections were made to it.
+    pub fn connections(&self) -> u32 {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// The registration that it would write, with `state` and the seconds that it stays cold.
+    pub fn registration(&self, service: &str, zone: &str, state: &str, cold_s: f64) -> Vec<u8> {
+        let Shared { slots, .. } = *self.shared;
+        format!(
+            r#"{{"address":"{}","info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":{slots}}},"status":{{"state":"{state}","sequence":1,"cold_remaining_s":{cold_s}}}}}"#,
+            self.addr
+        )
+        .into_bytes()
+    }
+
+    /// Ends it at once: connections break, and the port refuses new ones.
+    pub async fn crash(self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+) {
+    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
+        let Ok((stream, _)) = accepted else { continue };
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        let (shared, stop) = (Arc::clone(&shared), stop.clone());
+        tasks.spawn(async move {
+            if let Some(Err(e)) = stop.run_until_cancelled(shared.serve(stream)).await {
+                tracing::debug!(event = "service_connection_ended", error = %e);
+            }
+        });
+    }
+}
+
+impl Shared {
+    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut buf = Vec::new();
+        while let Some(seen) = read(&mut stream, &mut buf).await? {
+            if !self.answer(&mut stream, seen).await? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers one request, and tells whether the connection goes on.
+    async fn answer(&self, stream: &mut TcpStream, mut seen: Seen) -> io::Result<bool> {
+        let header = |name: &str| seen.headers.get(name).cloned().unwrap_or_default();
+        let (id, expected) =
+            (header("foxtailrouter-request-id"), header("foxtailrouter-expect-instance"));
+        if !expected.is_empty() && expected != self.id {
+            self.seen.lock().push(seen);
+            let head = format!("foxtailrouter-instance-id: {}\r\n", self.id);
+            return send(stream, 421, &id, &head, b"").await.map(|()| true);
+        }
+        let act = self.next.lock().pop_front().unwrap_or_else(|| self.usual.lock().clone());
+        seen.run = act != Act::Shed;
+        self.seen.lock().push(seen);
+        if act == Act::Shed {
+            let head = "foxtailrouter-not-executed: 1\r\n";
+            return send(stream, 503, &id, head, b"").await.map(|()| true);
+        }
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let finished = self.work(stream, &act).await;
+        let running = self.running.fetch_sub(1, Ordering::Relaxed);
+        if !finished {
+            self.cancelled.fetch_add(1, Ordering::Relaxed);
+            return Ok(false);
+        }
+        let head = format!(
+            "foxtailrouter-server-seal: {}.{id}\r\nfoxtailrouter-server-load: {running},0,{}\r\n",
+            self.id, self.slots
+        );
+        let body = format!("{} ran {id}", self.id).into_bytes();
+        match act {
+            Act::RunAndClose => return Ok(false),
+            Act::Fail(status) => send(stream, status, &id, &head, &body).await?,
+            Act::Foreign => send(stream, 200, "another", &head, &body).await?,
+            Act::AnswerTwice => {
+                send(stream, 200, &id, &head, &body).await?;
+                send(stream, 200, &id, &head, b"surplus").await?;
+            }
+            Act::CutShort => {
+                let text = framed(200, &id, &head, &body);
+                stream.write_all(&text[..text.len() - body.len() / 2]).await?;
+                return Ok(false);
+            }
+            Act::Unframed => {
+                let text =
+                    format!("HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n{head}\r\n");
+                stream.write_all(text.as_bytes()).await?;
+                stream.write_all(&body).await?;
+                return Ok(false);
+            }
+            Act::Answer | Act::Shed | Act::Silent => send(stream, 200, &id, &head, &body).await?,
+        }
+        Ok(true)
+    }
+
+    /// Works for as long as a request takes; tells whether the caller stayed.
+    async fn work(&self, stream: &mut TcpStream, act: &Act) -> bool {
+        let work = *self.work.lock();
+        let work = async move {
+            match act {
+                Act::Silent => std::future::pending().await,
+                _ => tokio::time::sleep(work).await,
+            }
+        };
+        let mut next = [0];
+        tokio::select! {
+            () = work => true,
+            // Nothing may come before the answer but the end.
+            _ = stream.peek(&mut next) => false,
+        }
+    }
+}
+
+/// Reads one request; `None` at the end of the connection.
+async fn read(stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<Option<Seen>> {
+    let head_len = loop {
+        if let Some(at) = buf.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buf[..head_len]).into_owned();
+    let mut lines = head.split("\r\n");
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.trim().to_lowercase(), value.trim().to_owned()))
+        .collect();
+    let body_len: usize =
+        headers.get("content-length").and_then(|len| len.parse().ok()).unwrap_or(0);
+    while buf.len() < head_len + body_len {
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    }
+    let body = buf[head_len..head_len + body_len].to_vec();
+    buf.drain(..head_len + body_len);
+    Ok(Some(Seen { line, headers, body, run: false }))
+}
+
+async fn send(
+    stream: &mut TcpStream,
+    status: u16,
+    id: &str,
+    head: &str,
+    body: &[u8],
+) -> io::Result<()> {
+    stream.write_all(&framed(status, id, head, body)).await
+}
+
+fn framed(status: u16, id: &str, head: &str, body: &[u8]) -> Vec<u8> {
+    let len = body.len();
+    let head = format!(
+        "HTTP/1.1 {status} -\r\nfoxtailrouter-request-id: {id}\r\ncontent-length: {len}\r\n{head}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
--- /dev/null
+++ b/foxtail-standin/src/store/door.rs
@@ -0,0 +1,277 @@
+//! An address under which the store is reached, with faults of its own.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::rows::{Refused, Store};
+
+/// The longest that a feed waits.
+const WAIT_MOST: Duration = Duration::from_secs(30);
+
+/// What is wrong with the store behind a door.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each call is answered 503, and nothing is done.
+    Unavailable,
+    /// Each call is answered 429, and nothing is done.
+    Throttled,
+    /// No call is answered, and nothing is done.
+    Silent,
+    /// Each connection is closed as soon as a call arrives, and nothing is done.
+    Reset,
+    /// Each call is done, and its answer is lost.
+    AnswerLost,
+    /// Each answer takes this long.
+    Slow(Duration),
+}
+
+/// Calls by path.
+pub type Counts = BTreeMap<String, u64>;
+
+/// An address of the store.
+pub struct Door {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+struct Shared {
+    store: Arc<Store>,
+    fault: Mutex<Fault>,
+    counts: Mutex<Counts>,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+/// Ends the connection without an answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the connection is cut")]
+struct Cut;
+
+impl Door {
+    /// Opens a door to `store` on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Whatever binding reports.
+    pub async fn open(store: &Arc<Store>) -> io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            store: Arc::clone(store),
+            fault: Mutex::default(),
+            counts: Mutex::default(),
+        });
+        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+        tasks.spawn(accept(listener, Arc::clone(&shared), stop.clone(), tasks.clone()));
+        Ok(Self { addr, shared, stop, tasks })
+    }
+
+    /// Where it is.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets what is wrong; calls that wait are held to it once they would be answered.
+    pub fn set_fault(&self, fault: Fault) {
+        *self.shared.fault.lock() = fault;
+    }
+
+    /// How many calls came, by path.
+    pub fn counts(&self) -> Counts {
+        self.shared.counts.lock().clone()
+    }
+
+    /// Breaks all connections and joins all tasks.
+    pub async fn close(self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+) {
+    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
+        let Ok((stream, _)) = accepted else { continue };
+        let (shared, stop) = (Arc::clone(&shared), stop.clone());
+        tasks.spawn(async move {
+            stop.run_until_cancelled(serve(stream, shared)).await;
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let shared = Arc::clone(&shared);
+        async move { shared.answer(req).await }
+    });
+    let conn = hyper::server::conn::http1::Builder::new();
+    if let Err(e) = conn.serve_connection(TokioIo::new(stream), service).await {
+        tracing::debug!(event = "store_connection_ended", error = %e);
+    }
+}
+
+impl Shared {
+    async fn answer(&self, req: Request<Incoming>) -> Result<Answer, Cut> {
+        let (head, body) = req.into_parts();
+        let path = head.uri.path().to_owned();
+        *self.counts.lock().entry(path.clone()).or_default() += 1;
+        let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
+        self.hold(true).await?;
+        if let Some(answer) = self.refusal() {
+            return Ok(answer);
+        }
+        let query = Query::new(head.uri.query().unwrap_or_default());
+        let answer = match (&head.method, path.as_str()) {
+            (&Method::POST, "/rows-tx") => self.transact(&body),
+            (&Method::GET, "/rows-get") => self.range(&query),
+            (&Method::GET, "/rows-feed") => self.feed(&query).await,
+            (method, path) => self.object(method, path, &head.headers, body),
+        };
+        self.hold(false).await?;
+        Ok(self.refusal().unwrap_or(answer))
+    }
+
+    /// What happens to a call as it comes, or to its answer as it goes.
+    async fn hold(&self, coming: bool) -> Result<(), Cut> {
+        let fault = *self.fault.lock();
+        match fault {
+            Fault::None | Fault::Unavailable | Fault::Throttled => Ok(()),
+            Fault::Silent => std::future::pending().await,
+            Fault::Reset => Err(Cut),
+            Fault::AnswerLost if coming => Ok(()),
+            Fault::AnswerLost => Err(Cut),
+            Fault::Slow(by) => {
+                tokio::time::sleep(by / 2).await;
+                Ok(())
+            }
+        }
+    }
+
+    fn refusal(&self) -> Option<Answer> {
+        match *self.fault.lock() {
+            Fault::Unavailable => Some(status(StatusCode::SERVICE_UNAVAILABLE)),
+            Fault::Throttled => Some(status(StatusCode::TOO_MANY_REQUESTS)),
+            _ => None,
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> Answer {
+        let Ok(tx) = serde_json::from_slice(body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        match self.store.transact(tx) {
+            Ok(page) => json(&page),
+            Err(Refused::Conflict(page)) => {
+                let mut answer = json(&page);
+                *answer.status_mut() = StatusCode::PRECONDITION_FAILED;
+                answer
+            }
+            Err(Refused::Malformed) => status(StatusCode::BAD_REQUEST),
+            Err(Refused::Forbidden) => status(StatusCode::FORBIDDEN),
+        }
+    }
+
+    fn range(&self, query: &Query<'_>) -> Answer {
+        let limit = query.number("limit").unwrap_or(u64::MAX) as usize;
+        let from = query.text("from").replace("%00", "\0");
+        json(&self.store.range(query.text("table"), query.text("part"), &from, limit))
+    }
+
+    async fn feed(&self, query: &Query<'_>) -> Answer {
+        let Some(after) = query.number("after") else { return status(StatusCode::BAD_REQUEST) };
+        let wait = Duration::from_millis(query.number("wait_ms").unwrap_or(0)).min(WAIT_MOST);
+        let until = tokio::time::Instant::now() + wait;
+        let mut changes = self.store.changes();
+        loop {
+            changes.borrow_and_update();
+            let Some(page) = self.store.feed(query.text("table"), after) else {
+                return status(StatusCode::GONE);
+            };
+            let timed_out = tokio::time::Instant::now() >= until;
+            if !page.rows.is_empty() || timed_out {
+                return json(&page);
+            }
+            // The time limit ends the wait as well; both lead to another look.
+            let _ = tokio::time::timeout_at(until, changes.changed()).await;
+        }
+    }
+
+    fn object(
+        &self,
+        method: &Method,
+        path: &str,
+        headers: &hyper::HeaderMap,
+        body: Bytes,
+    ) -> Answer {
+        let named = |prefix| path.strip_prefix(prefix);
+        if let (&Method::PUT, Some(name)) = (method, named("/blob-put/")) {
+            let only_new = headers.contains_key(hyper::header::IF_NONE_MATCH);
+            return match self.store.put_object(name, body.to_vec(), only_new) {
+                true => status(StatusCode::OK),
+                false => status(StatusCode::PRECONDITION_FAILED),
+            };
+        }
+        if let (&Method::GET, Some(name)) = (method, named("/blob-get/")) {
+            let found = self.store.object(name).map(|value| Response::new(Full::new(value.into())));
+            return found.unwrap_or_else(|| status(StatusCode::NOT_FOUND));
+        }
+        if let (&Method::DELETE, Some(name)) = (method, named("/blob-drop/")) {
+            self.store.drop_object(name);
+            return status(StatusCode::OK);
+        }
+        status(StatusCode::NOT_FOUND)
+    }
+}
+
+/// The fields of a query.
+struct Query<'q>(Vec<(&'q str, &'q str)>);
+
+impl<'q> Query<'q> {
+    fn new(query: &'q str) -> Self {
+        Self(query.split('&').filter_map(|pair| pair.split_once('=')).collect())
+    }
+
+    fn text(&self, name: &str) -> &'q str {
+        self.0.iter().find(|(key, _)| *key == name).map_or("", |(_, value)| *value)
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        self.text(name).parse().ok()
+    }
+}
+
+fn json(value: &impl Serialize) -> Answer {
+    Response::new(Full::new(serde_json::to_vec(value).expect("pages are JSON").into()))
+}
+
+fn status(code: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = code;
+    answer
+}
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -164,8 +164,7 @@
         let failing = known.errors_at(now) * req.route.objective.0 as f64;
         let score = expected_ms + failing + crossing + load * BUSY_MS;
         let report_age = now.since(known.reported);
-        let why =
-            Why { expected_ms, wait_ms, load, report_age, candidates: 0, last_resort: false };
+        let why = Why { expected_ms, wait_ms, load, report_age, candidates: 0, last_resort: false };
         Candidate { at, score, why }
     }
 
