--- a/foxtail-entry/src/settings.rs
+++ b/foxtail-entry/src/settings.rs
@@ -59,6 +59,9 @@
     #[garde(range(min = 0.5, max = 100.0))]
     #[serde(default = "refuse_factor_default")]
     pub refuse_factor: f64,
+    /// The share of a region's requests that may change their region within two seconds.
+    #[garde(range(min = 0.01, max = 1.0))]
+    pub shift_cap: f64,
 }
 
 /// How much of a service's load may be requests that are sent once more.
@@ -139,6 +142,7 @@
                 window: millis(self.retry.window_s),
             },
             refuse_factor: self.refuse_factor,
+            shift_cap: self.shift_cap,
         }
     }
 
--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -109,6 +109,7 @@
             lookup_ttl_s: 1.0,
             retry: Retry { ratio: 0.2, slack: 100.0, window_s: 10.0 },
             refuse_factor: 1.4,
+            shift_cap: 0.15,
         };
         let ports = Ports {
             dial: Arc::new(DIAL),
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -87,6 +87,9 @@
     pub last_resort: bool,
 }
 
+/// The two upstreams with the highest rendezvous weights.
+type TopTwo = [Option<(u64, usize)>; 2];
+
 /// One upstream under consideration.
 struct Candidate {
     at: usize,
@@ -101,7 +104,14 @@
         let Some(all) = self.by_service.get(req.service) else { return Placement::NoUpstream };
         let all = all.clone();
         let preferred = self.preferred(&all, req);
+        self.survey(now);
+        let regions: Vec<RegionId> = self.options.zones.values().cloned().collect();
+        let mut capped = regions;
+        capped.sort();
+        capped.dedup();
+        capped.retain(|region| !self.shift.allows(region, now));
         let mut best: Option<Candidate> = None;
+        let mut held_back: Option<Candidate> = None;
         let mut resort: Option<Candidate> = None;
         let mut candidates = 0;
         for at in all {
@@ -120,12 +130,17 @@
             let work_ms = work.cold_ms - warm * (work.cold_ms - work.warm_ms);
             let candidate = self.expect(at, known, work_ms, work.mean_ms, req, now);
             let down = known.down_until > now;
-            let held = if down { &mut resort } else { &mut best };
+            let held = match (down, capped.contains(&known.region)) {
+                (true, _) => &mut resort,
+                (false, true) => &mut held_back,
+                (false, false) => &mut best,
+            };
             candidates += usize::from(!down);
             if held.as_ref().is_none_or(|other| candidate.score < other.score) {
                 *held = Some(candidate);
             }
         }
+        let best = best.or(held_back);
         let last_resort = best.is_none();
         let Some(mut found) = best.or(resort) else { return Placement::NoUpstream };
         found.why.candidates = candidates;
@@ -193,7 +208,7 @@
     /// then those that come second.
     fn preferred(&self, all: &[usize], req: &Request<'_>) -> [Vec<Option<usize>>; 2] {
         let Some(object) = req.object else { return Default::default() };
-        let mut regions: Vec<(&RegionId, [Option<(u64, usize)>; 2])> = Vec::new();
+        let mut regions: Vec<(&RegionId, TopTwo)> = Vec::new();
         for &at in all {
             let known = &self.table[at];
             if known.gone || known.up.draining || self.evacuated.contains_key(&known.up.zone) {
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod rendezvous;
 pub mod retry;
+mod shift;
 mod split;
 pub mod steering;
 pub mod upstream;
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -6,6 +6,7 @@
 use foxtail_types::prelude::*;
 
 use crate::estimate::Work;
+use crate::shift::Shift;
 use crate::upstream::{Load, Upstream};
 use crate::{Bucket, Config, RetryBudget, Route, Split, retry};
 
@@ -42,6 +43,9 @@
 /// A bad pace or error rate fades over this many milliseconds, so that the upstream is tried again.
 const BLAME_FADES_MS: f64 = 4_000.0;
 
+/// How often the slots of each region are counted.
+const SURVEY_EVERY: Millis = Millis(250);
+
 /// The round trip within a region before any connection was made, in milliseconds.
 const NEAR_MS: f64 = 1.0;
 
@@ -62,6 +66,8 @@
     /// A request is refused if all slots are taken and its answer is expected later than this many
     /// latency objectives.
     pub refuse_factor: f64,
+    /// The share of a region's requests that may change their region within two seconds.
+    pub shift_cap: f64,
 }
 
 /// What a host believes of the upstreams.
@@ -75,6 +81,8 @@
     pub(crate) work: HashMap<ServiceId, Vec<(Millis, Work)>>,
     pub(crate) evacuated: BTreeMap<ZoneId, Millis>,
     pub(crate) rtt_ms: HashMap<ZoneId, f64>,
+    pub(crate) shift: Shift,
+    capacity_seen: Millis,
     split: Split,
     retries: RetryBudget,
 }
@@ -153,6 +161,7 @@
     /// A host that knows nothing yet.
     pub fn new(options: Options) -> Self {
         let retries = RetryBudget::new(options.retry);
+        let shift = Shift::new(options.shift_cap);
         Self {
             options,
             cfg: None,
@@ -162,6 +171,8 @@
             work: HashMap::new(),
             evacuated: BTreeMap::new(),
             rtt_ms: HashMap::new(),
+            shift,
+            capacity_seen: Millis::ZERO,
             split: Split::default(),
             retries,
         }
@@ -169,6 +180,7 @@
 
     /// Decides by `options` from now on.
     pub fn set_options(&mut self, options: Options) {
+        self.shift.set_cap(options.shift_cap);
         self.options = options;
     }
 
@@ -263,6 +275,7 @@
         if let Some(&at) = self.ids.get(id) {
             let known = &mut self.table[at];
             known.own += 1;
+            self.shift.placed(&known.region, now);
             if known.cold_until > now {
                 known.cold.take(now);
             }
@@ -348,6 +361,26 @@
         &mut kinds[at].1
     }
 
+    /// Looks how many slots each region has, now and then.
+    pub(crate) fn survey(&mut self, now: Millis) {
+        if now.since(self.capacity_seen) < SURVEY_EVERY {
+            return;
+        }
+        self.capacity_seen = now;
+        let mut slots: BTreeMap<RegionId, f64> =
+            self.options.zones.values().map(|region| (region.clone(), 0.0)).collect();
+        for known in &self.table {
+            let out = known.gone
+                || known.up.draining
+                || known.down_until > now
+                || self.evacuated.contains_key(&known.up.zone);
+            if !out && let Some(total) = slots.get_mut(&known.region) {
+                *total += f64::from(known.up.slots);
+            }
+        }
+        self.shift.capacity(slots, &self.options.region, now);
+    }
+
     pub(crate) fn rtt_ms_to(&self, zone: &ZoneId, region: &RegionId) -> f64 {
         let far = *region != self.options.region;
         self.rtt_ms.get(zone).copied().unwrap_or(if far { FAR_MS } else { NEAR_MS })
--- /dev/null
+++ b/foxtail-steer/tests/budgets.rs
@@ -0,0 +1,231 @@
+//! What hosts must keep to together: cold rates, retries, the shift between regions.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{config, end, fleet, meet, options, route, send, service, upstream};
+use foxtail_steer::steering::Ended;
+use foxtail_steer::{RetryBudget, Split, Steering, config::Part, retry};
+use foxtail_types::prelude::*;
+use proptest::prelude::*;
+
+/// The most requests that fall into any second.
+fn busiest_second(times: &[Millis]) -> usize {
+    let within =
+        |from: Millis| times.iter().filter(move |t| **t >= from && t.since(from).0 < 1_000);
+    times.iter().map(|from| within(*from).count()).max().unwrap_or(0)
+}
+
+#[test]
+fn a_cold_upstream_gets_no_more_than_it_bears_from_all_hosts_together() {
+    // The platform bears half as much again and five more.
+    for (rate, allowed) in [(2.8, 9), (11.0, 21)] {
+        let names = ["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"];
+        let mut fleets: Vec<_> = names.iter().map(|name| fleet(name, "a1", Millis(0))).collect();
+        let mut hosts: Vec<Steering> =
+            names.iter().map(|name| Steering::new(options(name, "a"))).collect();
+        let mut sent: BTreeMap<String, Vec<Millis>> = BTreeMap::new();
+        for host in &mut hosts {
+            host.set_config(config(1, rate));
+            for id in ["u1", "u2"] {
+                let mut up = upstream(id, "a1");
+                up.cold_for = Millis::secs(3);
+                host.set_upstream(up, Millis(0));
+            }
+        }
+        let route = route("r");
+        for now in (0..3_000).step_by(10).map(Millis) {
+            if now.0 % 400 == 0 {
+                meet(&mut fleets, now);
+            }
+            for (host, fleet) in hosts.iter_mut().zip(&fleets) {
+                if let Some(up) = send(host, fleet, &route, now.0 / 10 % 24, now) {
+                    sent.entry(up.id.to_string()).or_default().push(now);
+                    end(host, &up.id, now.0 / 10 % 24, Ended::Answered, Millis(100), now);
+                }
+            }
+        }
+        assert_eq!(sent.len(), 2, "both are warmed up");
+        for (id, times) in sent {
+            let busiest = busiest_second(&times);
+            assert!(busiest <= allowed, "{id} got {busiest} in a second at {rate}");
+            let least = (rate * 3.0 / 2.0) as usize;
+            assert!(times.len() >= least, "{id} got only {} in its warm-up", times.len());
+        }
+    }
+}
+
+#[test]
+fn a_zone_that_comes_back_is_warmed_up_like_new_upstreams() {
+    let mut host = Steering::new(options("h1", "a"));
+    let fleet = fleet("h1", "a1", Millis(0));
+    host.set_config(config(1, 5.0));
+    host.set_upstream(upstream("u1", "a1"), Millis(0));
+    let zone: ZoneId = "a1".parse().unwrap();
+    host.evacuate(zone.clone(), Millis(0));
+    let route = route("r");
+    assert!(send(&mut host, &fleet, &route, 1, Millis(100)).is_none());
+    host.end_evacuation(&zone, Millis(2_000));
+    let times: Vec<Millis> = (2_000..3_000)
+        .map(Millis)
+        .filter(|now| {
+            let up = send(&mut host, &fleet, &route, 1, *now);
+            if let Some(up) = &up {
+                end(&mut host, &up.id, 1, Ended::Answered, Millis(100), *now);
+            }
+            up.is_some()
+        })
+        .collect();
+    assert!((3..=7).contains(&times.len()), "{} in the first second", times.len());
+}
+
+proptest! {
+    #[test]
+    fn retries_of_all_hosts_stay_within_the_budget(
+        hosts in 1usize..40,
+        loads in proptest::collection::vec(0u32..60, 1..40),
+        pause in 1u64..200,
+    ) {
+        let options = retry::Options { ratio: 0.2, slack: 112.0, window: Millis::secs(10) };
+        let service = service();
+        let mut budgets: Vec<RetryBudget> =
+            (0..hosts).map(|_| RetryBudget::new(options)).collect();
+        let (mut requests, mut retries) = (0u32, 0u32);
+        // Each host asks for a retry for each of its requests, and for more, in one window.
+        for step in 0..(10_000 / pause) {
+            let now = Millis(step * pause);
+            for (at, budget) in budgets.iter_mut().enumerate() {
+                let load = loads[at % loads.len()];
+                if u64::from(load) * pause / 1_000 > step % 3 {
+                    budget.request(&service, hosts, now);
+                    requests += 1;
+                }
+                retries += u32::from(budget.take(&service, hosts, now));
+            }
+        }
+        let allowed = 0.2 * f64::from(requests) + 112.0;
+        prop_assert!(f64::from(retries) <= allowed, "{retries} of {allowed}");
+    }
+
+    #[test]
+    fn a_split_keeps_to_its_weights_at_every_moment(
+        weights in proptest::collection::vec(1u32..100, 2..5),
+        requests in 1usize..300,
+    ) {
+        let mut route = route("r");
+        let total: u32 = weights.iter().sum();
+        let name = |at: usize| -> ServiceId { format!("s{at}").parse().unwrap() };
+        route.parts = weights
+            .iter()
+            .enumerate()
+            .map(|(at, weight)| Part { service: name(at), weight: f64::from(*weight) })
+            .collect();
+        let mut split = Split::default();
+        let mut counts = vec![0u32; weights.len()];
+        for n in 1..=requests {
+            let service = split.next(&route).unwrap().clone();
+            counts[(0..weights.len()).find(|at| name(*at) == service).unwrap()] += 1;
+            for (count, weight) in counts.iter().zip(&weights) {
+                let due = n as f64 * f64::from(*weight) / f64::from(total);
+                prop_assert!((f64::from(*count) - due).abs() <= weights.len() as f64);
+            }
+        }
+    }
+}
+
+/// The share of requests that change their region from one window of two seconds to the next.
+fn largest_shift(regions: &[(Millis, RegionId)], from: Millis, to: Millis) -> f64 {
+    let shares = |start: u64| {
+        let inside = |at: &Millis| at.0 >= start && at.0 < start + 2_000;
+        let mut counts: BTreeMap<&RegionId, f64> = BTreeMap::new();
+        let mut total = 0.0;
+        for (_, region) in regions.iter().filter(|(at, _)| inside(at)) {
+            *counts.entry(region).or_default() += 1.0;
+            total += 1.0;
+        }
+        counts.values_mut().for_each(|count| *count /= f64::max(total, 1.0));
+        counts
+    };
+    let starts = (from.0..=to.0 - 4_000).step_by(100);
+    let moved = starts.map(|start| {
+        let (was, is) = (shares(start), shares(start + 2_000));
+        let risen = |region: &&RegionId| {
+            (is.get(*region).unwrap_or(&0.0) - was.get(*region).unwrap_or(&0.0)).max(0.0)
+        };
+        is.keys().map(|region| risen(region)).sum::<f64>()
+    });
+    moved.fold(0.0, f64::max)
+}
+
+/// Plays a region whose upstreams are too few for work on objects that nobody has cached yet: the
+/// first seconds of a day.
+#[test]
+fn a_region_that_is_short_of_slots_moves_its_requests_slowly() {
+    let mut host = Steering::new(options("h1", "a"));
+    let fleet = fleet("h1", "a1", Millis(0));
+    host.set_config(config(1, 5.0));
+    for (zone, count) in [("a1", 2), ("b1", 6), ("c1", 4)] {
+        for n in 0..count {
+            host.set_upstream(upstream(&format!("{zone}-{n}"), zone), Millis(0));
+        }
+    }
+    let route = route("r");
+    let mut sent: Vec<(Millis, RegionId)> = Vec::new();
+    let mut busy: Vec<(Millis, UpstreamId, u64, Millis)> = Vec::new();
+    let mut cached: std::collections::HashSet<(UpstreamId, u64)> = Default::default();
+    for now in (0..16_000).map(Millis) {
+        busy.retain(|(until, id, object, took)| {
+            if *until > now {
+                return true;
+            }
+            end(&mut host, id, *object, Ended::Answered, *took, now);
+            false
+        });
+        if now.0 % 40 != 0 {
+            continue;
+        }
+        let object = now.0 / 40 % 24;
+        if let Some(up) = send(&mut host, &fleet, &route, object, now) {
+            let region = common::zones()[&up.zone].clone();
+            let way = if region.as_str() == "a" { 1 } else { 70 };
+            let work = if cached.insert((up.id.clone(), object)) { 380 } else { 115 };
+            sent.push((now, region));
+            busy.push((now + Millis(way + work), up.id, object, Millis(way + work)));
+        }
+    }
+    let shift = largest_shift(&sent, Millis(0), Millis(16_000));
+    assert!(shift <= 0.15 + 0.05, "{shift:.2} of the requests changed their region");
+    let late = sent.iter().filter(|(at, _)| at.0 >= 12_000).collect::<Vec<_>>();
+    let home = late.iter().filter(|(_, region)| region.as_str() == "a").count();
+    assert!(home * 10 >= late.len() * 7, "they come home once the work is light: {home}");
+}
+
+#[test]
+fn requests_of_a_region_that_lost_its_upstreams_move_at_once() {
+    let mut host = Steering::new(options("h1", "a"));
+    let fleet = fleet("h1", "a1", Millis(0));
+    host.set_config(config(1, 5.0));
+    for id in ["a1-0", "a1-1", "b1-0", "b1-1"] {
+        host.set_upstream(upstream(id, &id[..2]), Millis(0));
+    }
+    let route = route("r");
+    for now in (0..6_000).step_by(50).map(Millis) {
+        if let Some(up) = send(&mut host, &fleet, &route, now.0 / 50 % 8, now) {
+            end(&mut host, &up.id, now.0 / 50 % 8, Ended::Answered, Millis(100), now);
+        }
+    }
+    host.remove_upstream(&"a1-0".parse().unwrap());
+    host.remove_upstream(&"a1-1".parse().unwrap());
+    let served = (6_000..7_000)
+        .step_by(50)
+        .filter(|now| {
+            let up = send(&mut host, &fleet, &route, 1, Millis(*now));
+            if let Some(up) = &up {
+                end(&mut host, &up.id, 1, Ended::Answered, Millis(100), Millis(*now));
+            }
+            up.is_some()
+        })
+        .count();
+    assert_eq!(served, 20);
+}
--- /dev/null
+++ b/foxtail-steer/tests/placing.rs
@@ -0,0 +1,257 @@
+//! Where requests go, what is refused, and which hosts callers are told to use.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{config, end, fleet, meet, options, record, route, send, service, upstream};
+use foxtail_steer::fleet::{Fleet, Phase};
+use foxtail_steer::steering::{Ended, Placement, Request};
+use foxtail_steer::upstream::Load;
+use foxtail_steer::{Steering, steering::Report};
+use foxtail_types::prelude::*;
+
+fn host(ups: &[(&str, &str)]) -> Steering {
+    let mut host = Steering::new(options("h1", "a"));
+    host.set_config(config(1, 5.0));
+    for (id, zone) in ups {
+        host.set_upstream(upstream(id, zone), Millis(0));
+    }
+    host
+}
+
+#[test]
+fn hosts_that_never_spoke_prefer_the_same_upstream_for_an_object() {
+    let ups: Vec<String> = (0..8).map(|n| format!("a1-{n}")).collect();
+    let ups: Vec<(&str, &str)> = ups.iter().map(|id| (id.as_str(), "a1")).collect();
+    let route = route("r");
+    let mut used = BTreeSet::new();
+    for object in 0..24 {
+        let chosen: BTreeSet<UpstreamId> = (0..4)
+            .map(|n| {
+                let mut host = host(&ups);
+                let fleet = fleet(&format!("h{n}"), "a1", Millis(0));
+                send(&mut host, &fleet, &route, object, Millis(0)).unwrap().id
+            })
+            .collect();
+        assert_eq!(chosen.len(), 1, "object {object}");
+        used.extend(chosen);
+    }
+    assert!(used.len() >= 6, "objects are spread: {used:?}");
+}
+
+#[test]
+fn an_object_moves_on_when_its_upstream_is_full_and_requests_are_refused_when_all_are() {
+    let mut host = host(&[("a1-0", "a1"), ("a1-1", "a1")]);
+    let fleet = fleet("h1", "a1", Millis(0));
+    let route = route("r");
+    let mut places = Vec::new();
+    while let Some(up) = send(&mut host, &fleet, &route, 1, Millis(0)) {
+        places.push(up.id);
+        assert!(places.len() < 40, "nothing is ever refused");
+    }
+    let (first, second) = (&places[0], places.iter().find(|id| **id != places[0]).unwrap());
+    let full = places.iter().position(|id| id == second).unwrap();
+    assert!((3..=6).contains(&full), "the second was used after {full}");
+    assert!(places.iter().filter(|id| *id == first).count() >= 3);
+    let service = service();
+    let request = Request {
+        route: &route,
+        service: &service,
+        object: Some(1),
+        age: Millis::ZERO,
+        tried: &[],
+    };
+    let Placement::Overloaded { retry_after, why } = host.place(&request, &fleet, Millis(0)) else {
+        panic!("not refused");
+    };
+    assert!(why.wait_ms > 0.0 && retry_after >= Millis(50) && retry_after < Millis(5_000));
+}
+
+#[test]
+fn a_kind_of_request_is_tried_where_slots_are_free_however_slow_it_was() {
+    let mut host = host(&[("a1-0", "a1")]);
+    let fleet = fleet("h1", "a1", Millis(0));
+    let route = route("r");
+    for n in 0..40 {
+        let now = Millis(n * 1_000);
+        let up = send(&mut host, &fleet, &route, n, now).expect("a slot is free");
+        end(&mut host, &up.id, n, Ended::Answered, Millis(900), now + Millis(900));
+    }
+}
+
+#[test]
+fn homes_bind() {
+    let mut host = host(&[("a1-0", "a1"), ("b1-0", "b1")]);
+    let fleet = fleet("h1", "a1", Millis(0));
+    let mut route = route("r");
+    route.homes = vec!["b".parse().unwrap()];
+    for object in 0..10 {
+        let up = send(&mut host, &fleet, &route, object, Millis(0));
+        assert!(up.is_none_or(|up| up.id.as_str() == "b1-0"));
+    }
+    route.homes = vec!["c".parse().unwrap()];
+    assert!(send(&mut host, &fleet, &route, 1, Millis(0)).is_none());
+}
+
+#[test]
+fn an_upstream_that_sheds_or_slows_down_loses_requests_and_gets_them_back() {
+    for (ended, took) in [(Ended::Shed, 5), (Ended::Answered, 1_500)] {
+        let mut host = host(&[("a1-0", "a1"), ("a1-1", "a1")]);
+        let fleet = fleet("h1", "a1", Millis(0));
+        let route = route("r");
+        let bad = send(&mut host, &fleet, &route, 1, Millis(0)).unwrap().id;
+        end(&mut host, &bad, 1, ended, Millis(took), Millis(took));
+        let mut bad_runs = 1;
+        for n in 1..30 {
+            let now = Millis(2_000 + n * 100);
+            let up = send(&mut host, &fleet, &route, 1, now).unwrap();
+            if up.id == bad {
+                bad_runs += 1;
+                end(&mut host, &up.id, 1, ended, Millis(took), now);
+            } else {
+                end(&mut host, &up.id, 1, Ended::Answered, Millis(120), now);
+            }
+        }
+        assert!(bad_runs <= 10, "{ended:?}: {bad_runs} of 30");
+        let late = Millis(60_000);
+        let seen: BTreeSet<UpstreamId> = (0..24)
+            .map(|object| {
+                let up = send(&mut host, &fleet, &route, 100 + object, late).unwrap();
+                end(&mut host, &up.id, 100 + object, Ended::Answered, Millis(360), late);
+                up.id
+            })
+            .collect();
+        assert!(seen.contains(&bad), "{ended:?}: it is tried again");
+    }
+}
+
+#[test]
+fn an_upstream_that_can_not_be_reached_is_left_alone_unless_nothing_else_is_there() {
+    let mut host = host(&[("a1-0", "a1"), ("a1-1", "a1")]);
+    let fleet = fleet("h1", "a1", Millis(0));
+    let route = route("r");
+    let first = send(&mut host, &fleet, &route, 1, Millis(0)).unwrap().id;
+    end(&mut host, &first, 1, Ended::Unreachable, Millis(1), Millis(1));
+    let second = send(&mut host, &fleet, &route, 1, Millis(2)).unwrap().id;
+    assert_ne!(first, second);
+    end(&mut host, &second, 1, Ended::Unreachable, Millis(1), Millis(3));
+    assert!(send(&mut host, &fleet, &route, 1, Millis(4)).is_some());
+}
+
+#[test]
+fn load_of_others_counts_as_the_upstream_reports_it_and_fades() {
+    let mut host = host(&[("a1-0", "a1"), ("a1-1", "a1")]);
+    let fleet = fleet("h1", "a1", Millis(0));
+    let route = route("r");
+    let first = send(&mut host, &fleet, &route, 1, Millis(0)).unwrap().id;
+    let report = Report {
+        id: &first,
+        service: &service(),
+        objective: Millis(300),
+        object: Some(1),
+        ended: Ended::Answered,
+        took: Millis(100),
+        load: Some(Load { running: 3, waiting: 6, slots: 3 }),
+    };
+    host.ended(&report, Millis(100));
+    assert_ne!(send(&mut host, &fleet, &route, 1, Millis(101)).unwrap().id, first);
+    let mut later = None;
+    for now in (2_000..6_000).step_by(400).map(Millis) {
+        let up = send(&mut host, &fleet, &route, 1, now).unwrap();
+        end(&mut host, &up.id, 1, Ended::Answered, Millis(100), now + Millis(100));
+        later = Some(up.id);
+    }
+    assert!(later.is_some());
+}
+
+#[test]
+fn an_older_configuration_and_a_late_word_of_an_earlier_incarnation_change_nothing() {
+    let mut host = host(&[]);
+    assert!(!host.set_config(config(1, 5.0)));
+    assert!(host.set_config(config(5, 5.0)));
+    assert!(!host.set_config(config(4, 5.0)));
+    let mut up = upstream("a1-0", "a1");
+    up.started = Some(Millis(2_000));
+    host.set_upstream(up.clone(), Millis(0));
+    let mut old = up.clone();
+    old.started = Some(Millis(1_000));
+    old.draining = true;
+    host.set_upstream(old, Millis(10));
+    assert_eq!(host.upstream(&up.id), Some(&up));
+}
+
+#[test]
+fn removed_upstreams_are_forgotten_and_the_rest_keep_their_place() {
+    let mut host = host(&[("a1-0", "a1"), ("a1-1", "a1"), ("b1-0", "b1")]);
+    let fleet = fleet("h1", "a1", Millis(0));
+    let route = route("r");
+    let busy = send(&mut host, &fleet, &route, 1, Millis(0)).unwrap().id;
+    host.remove_upstream(&busy);
+    assert_eq!(host.upstreams(), 2);
+    end(&mut host, &busy, 1, Ended::Answered, Millis(100), Millis(100));
+    for object in 0..20 {
+        let up = send(&mut host, &fleet, &route, object, Millis(200)).unwrap();
+        assert_ne!(up.id, busy);
+        end(&mut host, &up.id, object, Ended::Answered, Millis(100), Millis(300));
+    }
+}
+
+#[test]
+fn callers_are_sent_to_live_hosts_of_their_region_in_different_zones() {
+    let names = [("h1", "a1"), ("h2", "a1"), ("h3", "a2"), ("h4", "b1"), ("h5", "b2")];
+    let mut fleets: Vec<Fleet> =
+        names.iter().map(|(name, zone)| fleet(name, zone, Millis(0))).collect();
+    meet(&mut fleets, Millis(0));
+    let (region, zone) = ("a".parse().unwrap(), "a1".parse().unwrap());
+    let named = |fleet: &Fleet, now| -> Vec<(HostId, ZoneId)> {
+        let entries = fleet.entries(&region, &zone, now);
+        entries.iter().map(|record| (record.id.clone(), record.zone.clone())).collect()
+    };
+    let all: BTreeSet<_> = fleets.iter().map(|fleet| named(fleet, Millis(0))).collect();
+    assert_eq!(all.len(), 1, "every host names the same ones");
+    let first = all.into_iter().next().unwrap();
+    let zones: BTreeSet<_> = first.iter().map(|(_, zone)| zone.as_str()).collect();
+    assert_eq!(zones, BTreeSet::from(["a1", "a2"]));
+    // One of the named ones dies: it is not named for longer than the silence allows.
+    let dead = first[0].0.clone();
+    let mut alive: Vec<Fleet> = fleets.into_iter().filter(|fleet| fleet.me().id != dead).collect();
+    for now in (400..6_000).step_by(400).map(Millis) {
+        meet(&mut alive, now);
+        let still = alive.iter().any(|fleet| named(fleet, now).iter().any(|(id, _)| *id == dead));
+        assert!(!still || now <= Millis(3_000), "named {now} after its death");
+    }
+    // It starts again and is named again.
+    let mut again = Fleet::new(record(dead.as_str(), "a1"), Millis(6_000), Millis::secs(1_006));
+    again.set_phase(Phase::Serving);
+    alive.push(again);
+    meet(&mut alive, Millis(6_000));
+    assert!(named(&alive[0], Millis(6_000)).iter().any(|(id, _)| *id == dead));
+}
+
+#[test]
+fn a_region_without_hosts_is_served_by_others_and_a_leaving_host_by_none() {
+    let mut fleets = [fleet("h1", "a1", Millis(0)), fleet("h2", "a2", Millis(0))];
+    meet(&mut fleets, Millis(0));
+    let (region, zone) = ("c".parse().unwrap(), "c1".parse().unwrap());
+    assert_eq!(fleets[0].entries(&region, &zone, Millis(0)).len(), 2);
+    fleets[1].set_phase(Phase::Leaving);
+    let word = fleets[1].digest(Millis(100), false);
+    fleets[0].receive(&word, Millis(100));
+    let named = fleets[0].entries(&region, &zone, Millis(100));
+    assert_eq!(named.iter().map(|record| record.id.as_str()).collect::<Vec<_>>(), ["h1"]);
+}
+
+#[test]
+fn more_requests_are_spread_over_more_hosts() {
+    let names = ["h1", "h2", "h3", "h4", "h5", "h6"];
+    let mut fleets: Vec<Fleet> = names.iter().map(|name| fleet(name, "a1", Millis(0))).collect();
+    let region = "a".parse().unwrap();
+    let zone = "a1".parse().unwrap();
+    meet(&mut fleets, Millis(0));
+    let calm = fleets[0].entries(&region, &zone, Millis(0)).len();
+    fleets.iter_mut().for_each(|fleet| fleet.set_rate(60.0));
+    meet(&mut fleets, Millis(100));
+    let busy = fleets[0].entries(&region, &zone, Millis(100)).len();
+    assert_eq!((calm, busy), (2, 6));
+}
