--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -51,6 +51,7 @@
     up: &'a Upstream,
     fwd: &'a Forward<'a>,
     since: Millis,
+    wait_ms: f64,
     told: bool,
 }
 
@@ -66,6 +67,7 @@
             object: self.fwd.object,
             ended,
             took,
+            wait_ms: self.wait_ms,
             load: answer.and_then(|answer| answer.load),
         };
         self.cx.steering.lock().ended(&report, now);
@@ -105,10 +107,17 @@
 }
 
 /// Sends the request to `up` and waits for its answer.
-pub(crate) async fn attempt(cx: &Arc<Cx>, up: &Upstream, fwd: &Forward<'_>) -> Tried {
+///
+/// It is expected to wait there for `wait_ms` before it is worked on.
+pub(crate) async fn attempt(
+    cx: &Arc<Cx>,
+    up: &Upstream,
+    fwd: &Forward<'_>,
+    wait_ms: f64,
+) -> Tried {
     let since = cx.now();
     cx.steering.lock().sent(&up.id, since);
-    let mut sending = Sending { cx, up, fwd, since, told: false };
+    let mut sending = Sending { cx, up, fwd, since, wait_ms, told: false };
     let left = fwd.until.since(since).duration();
     match tokio::time::timeout(left, send(cx, up, fwd, &mut sending)).await {
         Ok(tried) => tried,
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -216,7 +216,7 @@
         story.placed(&up.id, &service, &why);
         story.offers += 1;
         tries.upstreams.push(up.id.clone());
-        match attempt(cx, &up, &fwd).await {
+        match attempt(cx, &up, &fwd, why.wait_ms).await {
             Tried::Answered(response) => {
                 story.answered(cx, &service, response.status());
                 return Ok(answer_of(response));
@@ -283,11 +283,14 @@
             event = "placed",
             request = self.call.id,
             %service,
+            object = self.call.object.map(tracing::field::display),
             upstream = %up,
             expected_ms = why.expected_ms as u64,
             wait_ms = why.wait_ms as u64,
             load = format_args!("{:.1}", why.load),
             report_age_ms = why.report_age.0,
+            in_time = format_args!("{:.2}", why.in_time),
+            utility = format_args!("{:.2}", why.utility),
             candidates = why.candidates,
             last_resort = why.last_resort,
             version = %self.version,
@@ -324,6 +327,7 @@
             expected_ms = why.map(|why| why.expected_ms as u64),
             wait_ms = why.map(|why| why.wait_ms as u64),
             report_age_ms = why.map(|why| why.report_age.0),
+            utility = why.map(|why| why.utility),
             version = %self.version,
         );
     }
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -1,35 +1,68 @@
 //! Which upstream a request goes to, or why none.
 //!
-//! The load it answers: upstreams have few slots, an answer after the objective is worth little, and
-//! an upstream works much faster on an object that it handled lately. Each object has a preferred
-//! upstream in each region, the same on every host, so that few upstreams have to learn it. Requests
-//! go where the answer is expected first: the way, the wait for a slot and the work on the object.
-//! When slots are taken everywhere and the answer would come far too late, the request is refused
-//! at once, so that the ones that can make it are not behind it.
+//! The load it answers: upstreams have few slots and small caches. Work on an object that an upstream
+//! has cached takes a third of the time, and an answer after the objective is worth little, so that
+//! what decides on a heavy day is how much of the slots' time goes to objects that are cached. Taking
+//! the upstream that answers first spoils that: each request that evades a queue makes one more
+//! upstream load its object and drop another one, until nothing is cached where it is needed.
+//!
+//! So each object has designated upstreams, the same on every host: two in the region of its callers
+//! and one elsewhere for what the region can't carry. For each upstream the chance of an answer in
+//! time is set against the slot time that the request takes from others there, which costs nothing
+//! while slots are free. The best one gets the request; if it is worth less than nothing, all that
+//! could take it are busy with requests that will be in time, and it is refused at once.
 
 use foxtail_types::prelude::*;
 
+use crate::estimate::Work;
 use crate::rendezvous;
-use crate::steering::{Known, Steering};
+use crate::steering::Steering;
 use crate::upstream::Upstream;
 use crate::{Fleet, Route};
 
 /// A cold upstream works this much slower.
 const COLD_PACE: f64 = 2.0;
 
-/// How sure it is that the preferred upstream of an object in its region has it cached.
-const PREFERRED_WARM: f64 = 0.95;
+/// How sure it is that the first designated upstream of an object has it cached, before this host
+/// has seen it answer.
+const FIRST_WARM: f64 = 0.9;
+
+/// The same for the other designated ones.
+const OTHER_WARM: f64 = 0.2;
+
+/// What a late answer is worth against one in time.
+const LATE_WORTH: f64 = 0.2;
+
+/// What an answer's delay costs, in late or early answers alike, for each objective that it takes.
+const DELAY_COST: f64 = 0.05;
+
+/// What it costs to load an object into the cache of an upstream that is not designated for it.
+const EVICTION_COST: f64 = 0.1;
+
+/// What crossing between regions costs, for the bytes on links that all traffic shares.
+const CROSSING_COST: f64 = 0.03;
+
+/// What the slot time of one request on a cached object costs at an upstream without free slots, in
+/// answers in time that it displaces.
+const BUSY_COST: f64 = 0.4;
 
-/// The same for the next one, which takes what the preferred one has no slots for.
-const SECOND_WARM: f64 = 0.5;
+/// The utilization from which slot time costs something; it rises to the full cost at 1.
+const BUSY_FROM: f64 = 0.6;
 
-/// Milliseconds by which a busier upstream is put behind an idle one with the same expectation, for
-/// each of its slots taken.
-const BUSY_MS: f64 = 2.0;
+/// The utilization beyond 1 that counts, for queues.
+const BUSY_MOST: f64 = 1.5;
 
-/// Milliseconds that a crossing between regions is put behind, for the bytes on links that all
-/// traffic shares.
-const CROSSING_MS: f64 = 10.0;
+/// How far work scatters around what is expected, as a share of it.
+const WORK_SPREAD: f64 = 0.15;
+
+/// The same for waiting, which depends on requests of others.
+const WAIT_SPREAD: f64 = 0.4;
+
+/// How far everything else scatters, in milliseconds.
+const OTHER_SPREAD_MS: f64 = 8.0;
+
+/// The way between callers and this host, in milliseconds: it counts in the objective as well.
+const CALLER_MS: f64 = 15.0;
 
 /// The shortest time after which a refused caller is told to come back.
 const COME_BACK_LEAST: Millis = Millis(50);
@@ -83,27 +116,36 @@
     pub report_age: Millis,
     /// How many upstreams could take the request.
     pub candidates: usize,
+    /// The chance of an answer within the objective.
+    pub in_time: f64,
+    /// What sending it is worth against the slot time that it takes.
+    pub utility: f64,
     /// Whether it is sent to an upstream that was left alone, since nothing else is there.
     pub last_resort: bool,
 }
 
-/// The two upstreams with the highest rendezvous weights.
-type TopTwo = [Option<(u64, usize)>; 2];
-
 /// One upstream under consideration.
 struct Candidate {
     at: usize,
-    score: f64,
     why: Why,
 }
 
+/// How a request's object stands with an upstream.
+#[derive(Clone, Copy)]
+struct Cached {
+    /// How likely the upstream has it cached.
+    warm: f64,
+    /// Whether the upstream is meant to have it.
+    designated: bool,
+}
+
 impl Steering {
     /// Decides where `req` goes.
     pub fn place(&mut self, req: &Request<'_>, fleet: &Fleet, now: Millis) -> Placement {
         let work = *self.work_of(req.service, req.route.objective);
         let Some(all) = self.by_service.get(req.service) else { return Placement::NoUpstream };
         let all = all.clone();
-        let preferred = self.preferred(&all, req);
+        let designated = self.designated(&all, req);
         self.survey(now);
         let regions: Vec<RegionId> = self.options.zones.values().cloned().collect();
         let mut capped = regions;
@@ -118,17 +160,9 @@
             if !self.allowed(at, req) || !self.may_warm(at, fleet, now) {
                 continue;
             }
+            let cached = self.cached(at, &designated, req);
+            let candidate = self.weigh(at, cached, &work, req, now);
             let known = &self.table[at];
-            let rank = preferred.iter().position(|two| two.contains(&Some(at)));
-            let warm = match (req.object, rank) {
-                (None, _) => 0.0,
-                (Some(object), _) if known.objects.holds(object) => 1.0,
-                (Some(_), Some(0)) => PREFERRED_WARM,
-                (Some(_), Some(_)) => SECOND_WARM,
-                (Some(_), None) => 0.0,
-            };
-            let work_ms = work.cold_ms - warm * (work.cold_ms - work.warm_ms);
-            let candidate = self.expect(at, known, work_ms, work.mean_ms, req, now);
             let down = known.down_until > now;
             let held = match (down, capped.contains(&known.region)) {
                 (true, _) => &mut resort,
@@ -136,7 +170,7 @@
                 (false, false) => &mut best,
             };
             candidates += usize::from(!down);
-            if held.as_ref().is_none_or(|other| candidate.score < other.score) {
+            if held.as_ref().is_none_or(|other| candidate.why.utility > other.why.utility) {
                 *held = Some(candidate);
             }
         }
@@ -153,42 +187,76 @@
         let bound = req.route.objective.0 as f64 * self.options.refuse_factor;
         let expected = req.age.0 as f64 + why.expected_ms;
         // A kind of request is always tried where slots are free, whatever the estimate says.
-        if why.wait_ms > 0.0 && expected > bound {
+        if why.wait_ms > 0.0 && (expected > bound || why.utility < 0.0) {
             let retry_after = Millis(why.wait_ms as u64).max(COME_BACK_LEAST);
             return Placement::Overloaded { retry_after, why };
         }
         Placement::Send { up: self.table[found.at].up.clone(), why }
     }
 
+    /// How the request's object stands with the upstream at `at`.
+    fn cached(&mut self, at: usize, designated: &[Option<usize>; 3], req: &Request<'_>) -> Cached {
+        let Some(object) = req.object else { return Cached { warm: 0.0, designated: true } };
+        let cache = *self.cache_of(req.service);
+        let rank = designated.iter().position(|other| *other == Some(at));
+        let seen = self.table[at].objects.distance(object);
+        let warm = match (seen, rank) {
+            (Some(distance), _) => cache.holds(distance),
+            (None, Some(0)) => FIRST_WARM,
+            (None, Some(_)) => OTHER_WARM,
+            (None, None) => 0.0,
+        };
+        Cached { warm, designated: rank.is_some() }
+    }
+
     /// What is expected of one upstream.
-    fn expect(
+    fn weigh(
         &self,
         at: usize,
-        known: &Known,
-        work_ms: f64,
-        mean_ms: f64,
+        cached: Cached,
+        work: &Work,
         req: &Request<'_>,
         now: Millis,
     ) -> Candidate {
+        let known = &self.table[at];
+        let pace = known.pace_at(now) * if known.cold_until > now { COLD_PACE } else { 1.0 };
+        let work_ms = (work.cold_ms - cached.warm * (work.cold_ms - work.warm_ms)) * pace;
+        let wait_ms = known.waits(now, work.mean_ms);
         let rtt_ms = self.rtt_ms_to(&known.up.zone, &known.region);
-        let cold = if known.cold_until > now { COLD_PACE } else { 1.0 };
-        let wait_ms = known.waits(now, mean_ms) * cold;
-        let load = known.load(now);
-        let expected_ms = rtt_ms + wait_ms + work_ms * known.pace_at(now) * cold;
-        let crossing = if known.region == self.options.region { 0.0 } else { CROSSING_MS };
-        let failing = known.errors_at(now) * req.route.objective.0 as f64;
-        let score = expected_ms + failing + crossing + load * BUSY_MS;
-        let report_age = now.since(known.reported);
-        let why = Why { expected_ms, wait_ms, load, report_age, candidates: 0, last_resort: false };
-        Candidate { at, score, why }
+        let expected_ms = rtt_ms + wait_ms + work_ms;
+        let objective = req.route.objective.0 as f64;
+        let left = objective - req.age.0 as f64 - CALLER_MS;
+        let spread = WORK_SPREAD * work_ms + WAIT_SPREAD * wait_ms + OTHER_SPREAD_MS;
+        let in_time = chance((left - expected_ms) / spread);
+        let worth = in_time + LATE_WORTH * (1.0 - in_time);
+        let utilization = known.utilization(now).min(BUSY_MOST);
+        let busy = ((utilization - BUSY_FROM) / (1.0 - BUSY_FROM)).max(0.0);
+        // Loading an object where it belongs is no loss: the next requests need it there.
+        let slot_ms = if cached.designated { work.warm_ms * pace } else { work_ms };
+        let crossing = if known.region == self.options.region { 0.0 } else { CROSSING_COST };
+        let eviction = if cached.designated { 0.0 } else { (1.0 - cached.warm) * EVICTION_COST };
+        let utility = worth * (1.0 - known.errors_at(now))
+            - BUSY_COST * busy * slot_ms / work.warm_ms.max(1.0)
+            - DELAY_COST * expected_ms / objective
+            - crossing
+            - eviction;
+        let why = Why {
+            expected_ms,
+            wait_ms,
+            load: known.load(now),
+            report_age: now.since(known.reported),
+            in_time,
+            utility,
+            candidates: 0,
+            last_resort: false,
+        };
+        Candidate { at, why }
     }
 
     fn allowed(&self, at: usize, req: &Request<'_>) -> bool {
         let known = &self.table[at];
         let homes = &req.route.homes;
-        !known.gone
-            && !known.up.draining
-            && !self.evacuated.contains_key(&known.up.zone)
+        self.in_use(at)
             && (homes.is_empty() || homes.contains(&known.region))
             && !req.tried.contains(&known.up.id)
     }
@@ -204,31 +272,38 @@
         sender == Some(&self.options.host) && self.table[at].cold.ready(now)
     }
 
-    /// The preferred upstreams of the request's object: first those that come first in their region,
-    /// then those that come second.
-    fn preferred(&self, all: &[usize], req: &Request<'_>) -> [Vec<Option<usize>>; 2] {
-        let Some(object) = req.object else { return Default::default() };
-        let mut regions: Vec<(&RegionId, TopTwo)> = Vec::new();
+    /// The upstreams that are meant to have the request's object cached: the first and the second
+    /// in this region, and one in the others.
+    fn designated(&self, all: &[usize], req: &Request<'_>) -> [Option<usize>; 3] {
+        let Some(object) = req.object else { return [None; 3] };
+        let mut near: [Option<(u64, usize)>; 2] = [None; 2];
+        let mut far: Option<(u64, usize)> = None;
         for &at in all {
-            let known = &self.table[at];
-            if known.gone || known.up.draining || self.evacuated.contains_key(&known.up.zone) {
+            if !self.in_use(at) {
                 continue;
             }
+            let known = &self.table[at];
             let weighed = Some((rendezvous::weight(object, known.up.id.as_str()), at));
-            let found = match regions.iter().position(|(region, _)| **region == known.region) {
-                Some(found) => found,
-                None => {
-                    regions.push((&known.region, [None; 2]));
-                    regions.len() - 1
-                }
-            };
-            let two = &mut regions[found].1;
-            if weighed > two[0] {
-                *two = [weighed, two[0]];
-            } else if weighed > two[1] {
-                two[1] = weighed;
+            if known.region != self.options.region {
+                far = far.max(weighed);
+            } else if weighed > near[0] {
+                near = [weighed, near[0]];
+            } else {
+                near[1] = near[1].max(weighed);
             }
         }
-        [0, 1].map(|rank| regions.iter().map(|(_, two)| two[rank].map(|(_, at)| at)).collect())
+        [near[0], near[1], far].map(|found| found.map(|(_, at)| at))
+    }
+
+    /// Whether an upstream is registered and may have new work.
+    fn in_use(&self, at: usize) -> bool {
+        let known = &self.table[at];
+        !known.gone && !known.up.draining && !self.evacuated.contains_key(&known.up.zone)
     }
 }
+
+/// The chance that something which scatters around zero by one is less than `margin`.
+fn chance(margin: f64) -> f64 {
+    // The logistic function, scaled to come close to the normal distribution.
+    1.0 / (1.0 + (-1.702 * margin).exp())
+}
--- a/foxtail-steer/src/estimate.rs
+++ b/foxtail-steer/src/estimate.rs
@@ -49,3 +49,45 @@
         }
     }
 }
+
+/// How many objects an upstream of a service keeps cached, of those that one host sends it.
+///
+/// Nobody tells the size, and other hosts' objects share the cache, so that it is learned from
+/// whether an answer was as fast as one from the cache.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CacheSize(f64);
+
+/// The size that is assumed before any answer.
+const CACHE_FIRST: f64 = 16.0;
+
+/// The bounds of a learned size.
+const CACHE_BOUNDS: (f64, f64) = (2.0, 120.0);
+
+/// How much one answer that the size does not explain moves it.
+const CACHE_LEARN: f64 = 0.03;
+
+impl Default for CacheSize {
+    fn default() -> Self {
+        Self(CACHE_FIRST)
+    }
+}
+
+impl CacheSize {
+    /// The belief that an object is cached, after `distance` other ones of this host.
+    pub(crate) fn holds(self, distance: usize) -> f64 {
+        let past = distance as f64 / self.0;
+        (1.4 - past * 0.8).clamp(0.05, 0.95)
+    }
+
+    /// Learns from an answer about an object that was last handled `distance` objects before.
+    pub(crate) fn learn(&mut self, distance: usize, cold: bool) {
+        let distance = distance as f64;
+        let (least, most) = CACHE_BOUNDS;
+        if cold && distance < self.0 {
+            self.0 -= CACHE_LEARN * (self.0 - distance);
+        } else if !cold && distance > self.0 * 0.5 {
+            self.0 += CACHE_LEARN * (distance + 1.0);
+        }
+        self.0 = self.0.clamp(least, most);
+    }
+}
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -5,7 +5,7 @@
 
 use foxtail_types::prelude::*;
 
-use crate::estimate::Work;
+use crate::estimate::{CacheSize, Work};
 use crate::shift::Shift;
 use crate::upstream::{Load, Upstream};
 use crate::{Bucket, Config, RetryBudget, Route, Split, retry};
@@ -23,7 +23,7 @@
 const COLD_MARGIN: Millis = Millis(300);
 
 /// How many objects are remembered for each upstream.
-const OBJECTS_KEPT: usize = 64;
+const OBJECTS_KEPT: usize = 128;
 
 /// How much one answer moves the pace and the error rate of an upstream.
 const LEARN: f64 = 0.3;
@@ -40,6 +40,13 @@
 /// A reported load of others fades to its average over this many milliseconds.
 const REPORT_FADES_MS: f64 = 300.0;
 
+/// How much one report moves the utilization of an upstream.
+const UTILIZATION_LEARN: f64 = 0.2;
+
+/// A utilization fades over this many milliseconds without reports, so that an upstream which was
+/// busy is tried again.
+const UTILIZATION_FADES_MS: f64 = 2_000.0;
+
 /// A bad pace or error rate fades over this many milliseconds, so that the upstream is tried again.
 const BLAME_FADES_MS: f64 = 4_000.0;
 
@@ -79,6 +86,7 @@
     pub(crate) ids: HashMap<UpstreamId, usize>,
     pub(crate) by_service: HashMap<ServiceId, Vec<usize>>,
     pub(crate) work: HashMap<ServiceId, Vec<(Millis, Work)>>,
+    pub(crate) caches: HashMap<ServiceId, CacheSize>,
     pub(crate) evacuated: BTreeMap<ZoneId, Millis>,
     pub(crate) rtt_ms: HashMap<ZoneId, f64>,
     pub(crate) shift: Shift,
@@ -102,6 +110,7 @@
     pub(crate) others: f64,
     pub(crate) others_avg: f64,
     pub(crate) reported: Millis,
+    utilization: f64,
     /// How long its work takes against what was expected.
     pub(crate) pace: f64,
     /// The share of requests that it failed or shed.
@@ -153,6 +162,8 @@
     pub ended: Ended,
     /// From sending to the head of the answer.
     pub took: Millis,
+    /// How much of it was expected to be waiting for a slot, in milliseconds.
+    pub wait_ms: f64,
     /// The load that the upstream reported.
     pub load: Option<Load>,
 }
@@ -169,6 +180,7 @@
             ids: HashMap::new(),
             by_service: HashMap::new(),
             work: HashMap::new(),
+            caches: HashMap::new(),
             evacuated: BTreeMap::new(),
             rtt_ms: HashMap::new(),
             shift,
@@ -289,15 +301,19 @@
         let work = *self.work_of(report.service, report.objective);
         let known = &mut self.table[at];
         known.own = known.own.saturating_sub(1);
-        let waited_before = known.waits(now, work.mean_ms);
         if let Some(load) = report.load {
             known.report(load, now);
         }
         match report.ended {
             Ended::Answered => {
-                let took_ms = (report.took.0 as f64 - rtt_ms - waited_before).max(1.0);
+                let took_ms = (report.took.0 as f64 - rtt_ms - report.wait_ms).max(1.0);
+                let distance = report.object.and_then(|object| known.objects.distance(object));
                 known.answered(report.object, took_ms, &work, now);
                 let pace = known.pace;
+                if let Some(distance) = distance {
+                    let cold = work.looks_cold(took_ms / pace.max(0.1));
+                    self.cache_of(report.service).learn(distance, cold);
+                }
                 self.work_of(report.service, report.objective).learn(took_ms, pace);
             }
             Ended::Shed => known.blame(now),
@@ -381,6 +397,13 @@
         self.shift.capacity(slots, &self.options.region, now);
     }
 
+    pub(crate) fn cache_of(&mut self, service: &ServiceId) -> &mut CacheSize {
+        if !self.caches.contains_key(service) {
+            self.caches.insert(service.clone(), CacheSize::default());
+        }
+        self.caches.get_mut(service).expect("inserted above")
+    }
+
     pub(crate) fn rtt_ms_to(&self, zone: &ZoneId, region: &RegionId) -> f64 {
         let far = *region != self.options.region;
         self.rtt_ms.get(zone).copied().unwrap_or(if far { FAR_MS } else { NEAR_MS })
@@ -472,6 +495,7 @@
             others: 0.0,
             others_avg: 0.0,
             reported: Millis::ZERO,
+            utilization: 0.0,
             pace: 1.0,
             errors: 0.0,
             blamed: Millis::ZERO,
@@ -501,6 +525,13 @@
         f64::from(self.own) + others
     }
 
+    /// The share of its slots that is taken, over 1 where requests wait; averaged over reports.
+    pub(crate) fn utilization(&self, now: Millis) -> f64 {
+        let age = now.since(self.reported).0 as f64;
+        let own = f64::from(self.own) / f64::from(self.up.slots.max(1));
+        (self.utilization * fade(age, UTILIZATION_FADES_MS)).max(own)
+    }
+
     /// How long one more request would wait for a slot.
     pub(crate) fn waits(&self, now: Millis, work_ms: f64) -> f64 {
         let slots = f64::from(self.up.slots.max(1));
@@ -522,6 +553,9 @@
         let all = f64::from(load.running + load.waiting);
         self.others = (all - f64::from(self.own)).max(0.0);
         self.others_avg += LEARN * (self.others - self.others_avg);
+        let utilization = all / f64::from(load.slots.max(1));
+        let held = self.utilization(now);
+        self.utilization = held + UTILIZATION_LEARN * (utilization - held);
         self.reported = now;
         if load.slots > 0 {
             self.up.slots = load.slots;
@@ -553,9 +587,9 @@
 }
 
 impl Objects {
-    /// Whether the upstream handled `object` lately.
-    pub(crate) fn holds(&self, object: u64) -> bool {
-        self.order.contains(&object)
+    /// How many other objects the upstream handled since it handled `object` last.
+    pub(crate) fn distance(&self, object: u64) -> Option<usize> {
+        self.order.iter().rev().position(|&held| held == object)
     }
 
     fn touch(&mut self, object: u64) {
--- a/foxtail-steer/tests/common/mod.rs
+++ b/foxtail-steer/tests/common/mod.rs
@@ -135,6 +135,7 @@
         object: Some(object),
         ended,
         took,
+        wait_ms: 0.0,
         load: None,
     };
     steering.ended(&report, now);
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -152,6 +152,7 @@
         object: Some(1),
         ended: Ended::Answered,
         took: Millis(100),
+        wait_ms: 0.0,
         load: Some(Load { running: 3, waiting: 6, slots: 3 }),
     };
     host.ended(&report, Millis(100));
