--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -273,26 +273,39 @@
     }
 
     /// The upstreams that are meant to have the request's object cached: the first and the second
-    /// in this region, and one in the others.
+    /// in this region, and one in the others, of which those with more slots get more objects.
     fn designated(&self, all: &[usize], req: &Request<'_>) -> [Option<usize>; 3] {
         let Some(object) = req.object else { return [None; 3] };
-        let mut near: [Option<(u64, usize)>; 2] = [None; 2];
-        let mut far: Option<(u64, usize)> = None;
-        for &at in all {
-            if !self.in_use(at) {
-                continue;
+        let in_use = || all.iter().copied().filter(|at| self.in_use(*at));
+        let mut slots: Vec<(&RegionId, f64)> = Vec::new();
+        for at in in_use() {
+            let known = &self.table[at];
+            let more = f64::from(known.up.slots);
+            match slots.iter_mut().find(|(region, _)| **region == known.region) {
+                Some((_, sum)) => *sum += more,
+                None => slots.push((&known.region, more)),
             }
+        }
+        let mut near: [Option<(u64, usize)>; 2] = [None; 2];
+        let mut far: Option<(f64, usize)> = None;
+        for at in in_use() {
             let known = &self.table[at];
-            let weighed = Some((rendezvous::weight(object, known.up.id.as_str()), at));
+            let weight = rendezvous::weight(object, known.up.id.as_str());
+            let weighed = Some((weight, at));
             if known.region != self.options.region {
-                far = far.max(weighed);
+                let found = slots.iter().find(|(region, _)| **region == known.region);
+                let share = found.map_or(0.0, |(_, sum)| sum * sum);
+                let weighed = rendezvous::weighted(weight, share);
+                if far.is_none_or(|(most, _)| weighed > most) {
+                    far = Some((weighed, at));
+                }
             } else if weighed > near[0] {
                 near = [weighed, near[0]];
             } else {
                 near[1] = near[1].max(weighed);
             }
         }
-        [near[0], near[1], far].map(|found| found.map(|(_, at)| at))
+        [near[0].map(|(_, at)| at), None, far.map(|(_, at)| at)]
     }
 
     /// Whether an upstream is registered and may have new work.
--- a/foxtail-steer/src/rendezvous.rs
+++ b/foxtail-steer/src/rendezvous.rs
@@ -7,6 +7,12 @@
     xxh3_64_with_seed(candidate.as_bytes(), key)
 }
 
+/// Turns a weight into a score under which candidates are chosen in proportion to their `share`.
+pub fn weighted(weight: u64, share: f64) -> f64 {
+    let uniform = (weight as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    share / -uniform.ln()
+}
+
 /// A short stable number for `text`.
 pub fn digest(text: &str) -> u64 {
     xxh3_64_with_seed(text.as_bytes(), 0)
