--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -37,7 +37,7 @@
 const DELAY_COST: f64 = 0.05;
 
 /// What it costs to load an object into the cache of an upstream that is not designated for it.
-const EVICTION_COST: f64 = 0.1;
+const EVICTION_COST: f64 = 0.3;
 
 /// What crossing between regions costs, for the bytes on links that all traffic shares.
 const CROSSING_COST: f64 = 0.03;
