fix(steer): a request is tried where slots are free, and eviction costs as much as a cache is full

Cause: with the higher cost of eviction a request was refused while another upstream was idle, and a slow upstream kept its requests: its answers taught that all work is slow.

--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -36,7 +36,7 @@
 /// What an answer's delay costs, in late or early answers alike, for each objective that it takes.
 const DELAY_COST: f64 = 0.05;
 
-/// What it costs to load an object into the cache of an upstream that is not designated for it.
+/// What it costs to load an object into the full cache of an upstream that is not designated for it.
 const EVICTION_COST: f64 = 0.3;
 
 /// What crossing between regions costs, for the bytes on links that all traffic shares.
@@ -125,11 +125,23 @@
 }
 
 /// One upstream under consideration.
+#[derive(Clone)]
 struct Candidate {
     at: usize,
     why: Why,
 }
 
+impl Candidate {
+    /// Whether the upstream has a slot free for the request.
+    fn is_idle(&self) -> bool {
+        self.why.wait_ms <= 0.0
+    }
+}
+
+fn better(candidate: &Candidate, held: Option<&Candidate>) -> bool {
+    held.is_none_or(|held| candidate.why.utility > held.why.utility)
+}
+
 /// How a request's object stands with an upstream.
 #[derive(Clone, Copy)]
 struct Cached {
@@ -137,6 +149,8 @@
     warm: f64,
     /// Whether the upstream is meant to have it.
     designated: bool,
+    /// How full the upstream's cache is believed to be, from 0 to 1.
+    occupied: f64,
 }
 
 impl Steering {
@@ -155,6 +169,7 @@
         let mut best: Option<Candidate> = None;
         let mut held_back: Option<Candidate> = None;
         let mut resort: Option<Candidate> = None;
+        let mut idle: Option<Candidate> = None;
         let mut candidates = 0;
         for at in all {
             if !self.allowed(at, req) || !self.may_warm(at, fleet, now) {
@@ -170,24 +185,37 @@
                 (false, false) => &mut best,
             };
             candidates += usize::from(!down);
-            if held.as_ref().is_none_or(|other| candidate.why.utility > other.why.utility) {
+            if !down && candidate.is_idle() && better(&candidate, idle.as_ref()) {
+                idle = Some(candidate.clone());
+            }
+            if better(&candidate, held.as_ref()) {
                 *held = Some(candidate);
             }
         }
         let best = best.or(held_back);
         let last_resort = best.is_none();
         let Some(mut found) = best.or(resort) else { return Placement::NoUpstream };
+        if !self.is_worth_it(&found, req)
+            && let Some(idle) = idle
+        {
+            // Whatever the estimate says, a request is tried where slots are free.
+            found = idle;
+        }
         found.why.candidates = candidates;
         found.why.last_resort = last_resort;
         self.admit(&found, req)
     }
 
+    /// Whether the answer may be in time, or at least not far too late.
+    fn is_worth_it(&self, found: &Candidate, req: &Request<'_>) -> bool {
+        let bound = req.route.objective.0 as f64 * self.options.refuse_factor;
+        let expected = req.age.0 as f64 + found.why.expected_ms;
+        expected <= bound && found.why.utility >= 0.0
+    }
+
     fn admit(&self, found: &Candidate, req: &Request<'_>) -> Placement {
         let why = found.why;
-        let bound = req.route.objective.0 as f64 * self.options.refuse_factor;
-        let expected = req.age.0 as f64 + why.expected_ms;
-        // A kind of request is always tried where slots are free, whatever the estimate says.
-        if why.wait_ms > 0.0 && (expected > bound || why.utility < 0.0) {
+        if !found.is_idle() && !self.is_worth_it(found, req) {
             let retry_after = Millis(why.wait_ms as u64).max(COME_BACK_LEAST);
             return Placement::Overloaded { retry_after, why };
         }
@@ -196,7 +224,9 @@
 
     /// How the request's object stands with the upstream at `at`.
     fn cached(&mut self, at: usize, designated: &[Option<usize>; 3], req: &Request<'_>) -> Cached {
-        let Some(object) = req.object else { return Cached { warm: 0.0, designated: true } };
+        let Some(object) = req.object else {
+            return Cached { warm: 0.0, designated: true, occupied: 0.0 };
+        };
         let cache = *self.cache_of(req.service);
         let rank = designated.iter().position(|other| *other == Some(at));
         let seen = self.table[at].objects.distance(object);
@@ -206,7 +236,8 @@
             (None, Some(_)) => OTHER_WARM,
             (None, None) => 0.0,
         };
-        Cached { warm, designated: rank.is_some() }
+        let occupied = cache.occupied(self.table[at].objects.len());
+        Cached { warm, designated: rank.is_some(), occupied }
     }
 
     /// What is expected of one upstream.
@@ -234,7 +265,8 @@
         // Loading an object where it belongs is no loss: the next requests need it there.
         let slot_ms = if cached.designated { work.warm_ms * pace } else { work_ms };
         let crossing = if known.region == self.options.region { 0.0 } else { CROSSING_COST };
-        let eviction = if cached.designated { 0.0 } else { (1.0 - cached.warm) * EVICTION_COST };
+        let loads = if cached.designated { 0.0 } else { 1.0 - cached.warm };
+        let eviction = loads * cached.occupied * EVICTION_COST;
         let utility = worth * (1.0 - known.errors_at(now))
             - BUSY_COST * busy * slot_ms / work.warm_ms.max(1.0)
             - DELAY_COST * expected_ms / objective
--- a/foxtail-steer/src/estimate.rs
+++ b/foxtail-steer/src/estimate.rs
@@ -15,6 +15,9 @@
 /// error, not of the kind of work, and do not move it.
 const PLAUSIBLE: std::ops::Range<f64> = 0.3..2.5;
 
+/// Upstreams whose pace is within these bounds tell how long work takes.
+const USUAL_PACE: std::ops::Range<f64> = 0.6..1.6;
+
 /// The work of one kind of request: those with one objective at one service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Work {
@@ -38,9 +41,13 @@
         took_ms * took_ms > self.warm_ms * self.cold_ms
     }
 
-    /// Learns from an answer of an upstream that normally takes `pace` times as long as others.
+    /// Learns from an answer of an upstream that takes `pace` times as long as others. One that is
+    /// far from usual says nothing about the work.
     pub(crate) fn learn(&mut self, took_ms: f64, pace: f64) {
-        let took_ms = took_ms / pace.max(0.1);
+        if !USUAL_PACE.contains(&pace) {
+            return;
+        }
+        let took_ms = took_ms / pace;
         let cold = self.looks_cold(took_ms);
         let nearer = if cold { &mut self.cold_ms } else { &mut self.warm_ms };
         if PLAUSIBLE.contains(&(took_ms / nearer.max(1.0))) {
@@ -79,6 +86,11 @@
         (1.4 - past * 0.8).clamp(0.05, 0.95)
     }
 
+    /// How full a cache is that has `objects` in it, from 0 to 1.
+    pub(crate) fn occupied(self, objects: usize) -> f64 {
+        (objects as f64 / self.0).min(1.0)
+    }
+
     /// Learns from an answer about an object that was last handled `distance` objects before.
     pub(crate) fn learn(&mut self, distance: usize, cold: bool) {
         let distance = distance as f64;
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -592,6 +592,11 @@
         self.order.iter().rev().position(|&held| held == object)
     }
 
+    /// How many objects are remembered.
+    pub(crate) fn len(&self) -> usize {
+        self.order.len()
+    }
+
     fn touch(&mut self, object: u64) {
         if self.order.back() == Some(&object) {
             return;
--- a/foxtail-steer/tests/budgets.rs
+++ b/foxtail-steer/tests/budgets.rs
@@ -151,9 +151,9 @@
     let moved = starts.map(|start| {
         let (was, is) = (shares(start), shares(start + 2_000));
         let risen = |region: &&RegionId| {
-            (is.get(*region).unwrap_or(&0.0) - was.get(*region).unwrap_or(&0.0)).max(0.0)
+            (is.get(region).unwrap_or(&0.0) - was.get(region).unwrap_or(&0.0)).max(0.0)
         };
-        is.keys().map(|region| risen(region)).sum::<f64>()
+        is.keys().map(risen).sum::<f64>()
     });
     moved.fold(0.0, f64::max)
 }
