feat(entry): two hosts of a region read the store, the others ask whoever knows more

Digests carry the versions that a host knows, and a host that hears of a newer one asks the sender for the rest, so that a change reaches hosts whose own store connection is silent.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -109,12 +109,7 @@
 /// Sends the request to `up` and waits for its answer.
 ///
 /// It is expected to wait there for `wait_ms` before it is worked on.
-pub(crate) async fn attempt(
-    cx: &Arc<Cx>,
-    up: &Upstream,
-    fwd: &Forward<'_>,
-    wait_ms: f64,
-) -> Tried {
+pub(crate) async fn attempt(cx: &Arc<Cx>, up: &Upstream, fwd: &Forward<'_>, wait_ms: f64) -> Tried {
     let since = cx.now();
     cx.steering.lock().sent(&up.id, since);
     let mut sending = Sending { cx, up, fwd, since, wait_ms, told: false };
--- a/foxtail-entry/src/cx.rs
+++ b/foxtail-entry/src/cx.rs
@@ -3,24 +3,37 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use foxtail_net::Dial;
 use foxtail_steer::{Fleet, Steering};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
+use crate::knowledge::Knowledge;
 use crate::metrics::Metrics;
+use crate::node::Ports;
 use crate::pool::Pool;
-use crate::ports::{Dialect, Store};
+use crate::ports::{Area, Dialect, Store};
 use crate::settings::Settings;
 
 /// What all parts of a host share.
 pub(crate) struct Cx {
     pub(crate) settings: Mutex<Arc<Settings>>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) dial: Arc<dyn Dial>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) steering: Mutex<Steering>,
     pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) knowledge: Mutex<Knowledge>,
+    /// There is news to tell other hosts.
+    pub(crate) news: Notify,
+    /// Areas of which another host is being asked.
+    pulling: Mutex<Vec<Area>>,
+    /// Tasks that answer or ask other hosts.
+    pub(crate) tasks: TaskTracker,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) life: Life,
@@ -43,6 +56,39 @@
 }
 
 impl Cx {
+    pub(crate) fn new(settings: Settings, ports: Ports) -> Self {
+        let Ports { dial, clock, dialect, store } = ports;
+        Self {
+            steering: Mutex::new(Steering::new(settings.steering())),
+            fleet: Mutex::new(Fleet::new(settings.record(), clock.now(), clock.wall())),
+            settings: Mutex::new(Arc::new(settings)),
+            clock,
+            dialect,
+            store,
+            knowledge: Mutex::default(),
+            news: Notify::new(),
+            pulling: Mutex::default(),
+            tasks: TaskTracker::new(),
+            pool: Pool::new(Arc::clone(&dial)),
+            dial,
+            metrics: Metrics::new(),
+            life: Life::default(),
+            requests: AtomicU64::new(0),
+            body_bytes: AtomicU64::new(0),
+        }
+    }
+
+    /// Notes whether another host is being asked about `area`; tells whether it was not before.
+    pub(crate) fn pulling(&self, area: Area, on: bool) -> bool {
+        let mut pulling = self.pulling.lock();
+        let before = pulling.contains(&area);
+        pulling.retain(|other| *other != area);
+        if on {
+            pulling.push(area);
+        }
+        !before
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
     }
--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -1,6 +1,9 @@
-//! Follows the platform's store: configuration, evacuations and upstreams.
+//! Reads the platform's store, for this host and for others of its region.
+//!
+//! Few hosts of a region read the store; the others hear from them that there is something new and
+//! ask them for it. A host that reads by itself does so because it is chosen, or because nobody else
+//! tells it anything.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use foxtail_types::prelude::*;
@@ -21,229 +24,121 @@
 /// The longest pause between two calls to a store that fails.
 const PAUSE_MOST: Millis = Millis(1_000);
 
-/// Registrations that vanished while the store was out are kept for this long after its return:
-/// upstreams that live are registered again by then.
-const KEEP_AFTER_OUTAGE: Millis = Millis(2_200);
+/// Registrations that vanish this soon after an outage of the store may have lapsed during it.
+const LAPSED_AFTER_OUTAGE: Millis = Millis(2_200);
+
+/// How long a host that starts listens to others before it decides whether to read the store.
+const LISTEN_FIRST: Millis = Millis(400);
+
+/// A host that was told nothing for this long after its start reads the store itself.
+const TOLD_NOTHING: Millis = Millis(1_200);
+
+/// How often a host that leaves reading to others looks whether it still may.
+const LOOK_EVERY: Millis = Millis(300);
 
 /// A follower of one area.
 struct Follower {
     cx: Arc<Cx>,
     area: Area,
-    /// The newest version that was read.
-    version: u64,
+    started: Millis,
+    /// Whether changes can't be followed and everything has to be read.
+    read_all: bool,
     /// Since when the store fails, if it does.
     failing: Option<Millis>,
     pause: Millis,
-    /// Until when vanished registrations are kept.
+    /// Until when registrations that vanish may have lapsed.
     lenient_until: Millis,
-    /// Upstreams that vanished, and when they are taken for gone.
-    vanished: BTreeMap<UpstreamId, Millis>,
 }
 
 /// Follows `area` until the host ends.
 pub(crate) async fn follow(cx: Arc<Cx>, area: Area) {
     let ended = cx.life.ended.clone();
+    let started = cx.now();
     let follower = Follower {
         cx,
         area,
-        version: 0,
+        started,
+        read_all: false,
         failing: None,
         pause: PAUSE_FIRST,
         lenient_until: Millis::ZERO,
-        vanished: BTreeMap::new(),
     };
-    tokio::select! {
-        () = follower.run() => {}
-        () = ended.cancelled() => {}
-    }
+    ended.run_until_cancelled(follower.run()).await;
 }
 
 impl Follower {
     async fn run(mut self) {
+        tokio::time::sleep(LISTEN_FIRST.duration()).await;
+        let mut reading = false;
         loop {
-            self.read_all().await;
-            while self.read_changes().await {}
+            let reads = self.reads();
+            if reads != reading {
+                tracing::info!(event = "reads_store", area = ?self.area, reads);
+                reading = reads;
+            }
+            if !reads {
+                tokio::time::sleep(LOOK_EVERY.duration()).await;
+            } else if self.read_all || self.cx.version(self.area) == 0 {
+                self.read_all().await;
+            } else {
+                self.read_changes().await;
+            }
         }
     }
 
-    /// Reads the whole area, until it succeeds.
+    /// Whether this host reads the store.
+    fn reads(&self) -> bool {
+        let now = self.cx.now();
+        let told = self.cx.version(self.area) > 0;
+        self.cx.fleet.lock().is_reader(now) || (!told && now.since(self.started) > TOLD_NOTHING)
+    }
+
+    /// Reads the whole area.
     async fn read_all(&mut self) {
-        loop {
-            let since = self.cx.now();
-            let read = self.cx.store.read(self.area).await;
-            self.count("read", &read, since);
-            match read {
-                Ok(facts) if facts.version < self.version => {
+        let since = self.cx.now();
+        let read = self.cx.store.read(self.area).await;
+        self.count("read", &read, since);
+        match read {
+            Ok(facts) => {
+                self.reached();
+                let lapsed = self.cx.now() < self.lenient_until;
+                if self.cx.learn(self.area, facts, lapsed, "store") {
+                    self.read_all = false;
+                    self.cx.news.notify_one();
+                } else {
                     // A copy of the store that lags behind what was read before.
-                    tracing::info!(event = "store_lags", area = ?self.area,
-                        version = facts.version, held = self.version);
                     self.rest().await;
                 }
-                Ok(facts) => {
-                    self.reached();
-                    self.version = facts.version;
-                    self.apply_all(facts);
-                    return;
-                }
-                Err(e) => self.failed(&e).await,
             }
+            Err(e) => self.failed(&e).await,
         }
     }
 
-    /// Waits for changes and applies them. Tells whether the history goes on.
-    async fn read_changes(&mut self) -> bool {
-        let next_due = self.vanished.values().min().copied();
-        let wait = next_due.map_or(WAIT, |due| due.since(self.cx.now()).max(Millis(1)).min(WAIT));
+    /// Waits for changes and takes them in.
+    async fn read_changes(&mut self) {
         let since = self.cx.now();
-        let changes = self.cx.store.changes(self.area, self.version, wait).await;
+        let version = self.cx.version_read(self.area);
+        let changes = self.cx.store.changes(self.area, version, WAIT).await;
         self.count("changes", &changes, since);
         match changes {
-            Ok(facts) => {
+            Ok(mut facts) => {
                 self.reached();
                 let any = !facts.facts.is_empty();
-                self.version = self.version.max(facts.version);
-                for fact in facts.facts {
-                    self.apply(fact);
+                if self.cx.now() < self.lenient_until {
+                    facts.facts.iter_mut().for_each(mark_lapsed);
                 }
-                self.expire();
+                self.cx.learn(self.area, facts, false, "store");
                 if any {
+                    self.cx.news.notify_one();
                     tokio::time::sleep(GATHER.duration()).await;
                 }
-                true
             }
             Err(Error::Forgotten) => {
-                tracing::info!(event = "store_history_lost", area = ?self.area,
-                    version = self.version);
-                false
-            }
-            Err(e) => {
-                self.failed(&e).await;
-                true
+                tracing::info!(event = "store_history_lost", area = ?self.area, version);
+                self.read_all = true;
+                self.read_all().await;
             }
-        }
-    }
-
-    fn apply_all(&mut self, facts: Facts) {
-        let now = self.cx.now();
-        let mut upstreams = Vec::new();
-        let mut zones = Vec::new();
-        for fact in facts.facts {
-            match fact {
-                Fact::Upstream(up) => upstreams.push(up),
-                Fact::Evacuation { zone, on: true } => zones.push(zone),
-                fact => self.apply(fact),
-            }
-        }
-        match self.area {
-            Area::Upstreams => {
-                tracing::info!(
-                    event = "upstreams_read",
-                    count = upstreams.len(),
-                    version = self.version
-                );
-                self.set_upstreams(upstreams, now);
-                if self.cx.life.read_upstreams() {
-                    self.cx.ready();
-                }
-            }
-            Area::Operators => {
-                let mut steering = self.cx.steering.lock();
-                let ended: Vec<ZoneId> =
-                    steering.evacuated().filter(|zone| !zones.contains(zone)).cloned().collect();
-                for zone in &ended {
-                    steering.end_evacuation(zone, now);
-                }
-                for zone in zones {
-                    steering.evacuate(zone, now);
-                }
-                let configured = steering.config().is_some();
-                drop(steering);
-                if configured && self.cx.life.read_operators() {
-                    self.cx.ready();
-                }
-            }
-            Area::Hosts => {}
-        }
-    }
-
-    /// Takes in all registrations; while the store has just returned, missing ones are kept.
-    fn set_upstreams(&mut self, mut upstreams: Vec<foxtail_steer::Upstream>, now: Millis) {
-        let mut steering = self.cx.steering.lock();
-        if now < self.lenient_until {
-            let held = steering.registered();
-            for up in held {
-                if !upstreams.iter().any(|other| other.id == up.id) {
-                    self.vanished.entry(up.id.clone()).or_insert(self.lenient_until);
-                    upstreams.push(up);
-                }
-            }
-        }
-        steering.set_upstreams(upstreams, now);
-    }
-
-    fn apply(&mut self, fact: Fact) {
-        let now = self.cx.now();
-        let cx = Arc::clone(&self.cx);
-        let mut steering = cx.steering.lock();
-        match fact {
-            Fact::Config(cfg) => {
-                let version = cfg.version;
-                let routes = cfg.routes().len();
-                let newer = steering.set_config(*cfg);
-                drop(steering);
-                tracing::info!(event = "config", %version, routes, in_force = newer);
-                if cx.life.read_operators() {
-                    cx.ready();
-                }
-            }
-            Fact::Evacuation { zone, on } => {
-                tracing::info!(event = "evacuation", %zone, on, version = self.version);
-                if on {
-                    steering.evacuate(zone, now);
-                } else {
-                    steering.end_evacuation(&zone, now);
-                }
-            }
-            Fact::Upstream(up) => {
-                tracing::info!(event = "upstream", upstream = %up.id, service = %up.service,
-                    zone = %up.zone, draining = up.draining, cold_ms = up.cold_for.0,
-                    version = self.version);
-                self.vanished.remove(&up.id);
-                steering.set_upstream(up, now);
-            }
-            Fact::UpstreamGone(id) => {
-                let lenient = now < self.lenient_until;
-                tracing::info!(event = "upstream_gone", upstream = %id, kept = lenient,
-                    version = self.version);
-                if lenient {
-                    self.vanished.insert(id, self.lenient_until);
-                } else {
-                    steering.remove_upstream(&id);
-                    cx.pool.retain(|known| *known != id);
-                }
-            }
-            Fact::Host(record) => cx.fleet.lock().learn(record),
-            Fact::Unreadable { key, why } => {
-                tracing::warn!(event = "row_unreadable", area = ?self.area, key, why);
-            }
-        }
-    }
-
-    /// Takes those registrations for gone that did not come back after an outage.
-    fn expire(&mut self) {
-        let now = self.cx.now();
-        let due: Vec<UpstreamId> = self
-            .vanished
-            .iter()
-            .filter(|&(_, due)| *due <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
-            tracing::info!(event = "upstream_gone", upstream = %id, kept = false,
-                version = self.version);
-            self.vanished.remove(&id);
-            self.cx.steering.lock().remove_upstream(&id);
-            self.cx.pool.retain(|known| *known != id);
+            Err(e) => self.failed(&e).await,
         }
     }
 
@@ -251,7 +146,8 @@
         self.pause = PAUSE_FIRST;
         if let Some(since) = self.failing.take() {
             let now = self.cx.now();
-            self.lenient_until = now + KEEP_AFTER_OUTAGE;
+            self.lenient_until = now + LAPSED_AFTER_OUTAGE;
+            self.cx.fleet.lock().set_store_lost(false);
             tracing::info!(event = "store_regained", area = ?self.area,
                 lost_ms = now.since(since).0);
         }
@@ -260,8 +156,9 @@
     async fn failed(&mut self, e: &Error) {
         if self.failing.is_none() {
             tracing::warn!(event = "store_lost", area = ?self.area, error = %e,
-                version = self.version);
+                version = self.cx.version(self.area));
             self.failing = Some(self.cx.now());
+            self.cx.fleet.lock().set_store_lost(true);
         }
         self.rest().await;
     }
@@ -286,3 +183,9 @@
         self.cx.metrics.store_call(call, outcome, facts, self.cx.now().since(since));
     }
 }
+
+fn mark_lapsed(fact: &mut Fact) {
+    if let Fact::UpstreamGone { lapsed, .. } = fact {
+        *lapsed = true;
+    }
+}
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -11,6 +11,7 @@
 
 use crate::cx::Cx;
 use crate::ports::Area;
+use crate::share;
 
 /// The largest digest that is taken in, in bytes.
 const DIGEST_MOST: usize = 16 * 1024;
@@ -45,8 +46,15 @@
     }
 }
 
-async fn take_in(cx: &Cx, socket: &UdpSocket, digest: &Digest) {
+async fn take_in(cx: &Arc<Cx>, socket: &UdpSocket, digest: &Digest) {
     cx.metrics.digest();
+    let told = digest.versions;
+    for (area, version) in [(Area::Operators, told.operators), (Area::Upstreams, told.upstreams)] {
+        if version > cx.version(area) && cx.pulling(area, true) {
+            let dial = Arc::clone(&cx.dial);
+            cx.tasks.spawn(share::pull(Arc::clone(cx), dial, area, digest.from.peer));
+        }
+    }
     let now = cx.now();
     let reply = {
         let mut fleet = cx.fleet.lock();
@@ -60,7 +68,8 @@
     }
 }
 
-/// Sends digests to one host of the own region and one of another in each period.
+/// Sends a digest to one host of the own region in each period, and one to another region from those
+/// hosts that read the store.
 pub(crate) async fn send_digests(cx: Arc<Cx>, socket: Arc<UdpSocket>) {
     let mut ticks = tokio::time::interval(PERIOD.duration());
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -70,8 +79,13 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
+            () = cx.news.notified() => {
+                tell_news(&cx, &socket).await;
+                continue;
+            }
             () = cx.life.ended.cancelled() => return,
         }
+        cx.drop_lapsed();
         let now = cx.now();
         let requests = cx.requests.load(Ordering::Relaxed);
         let span = now.since(at).as_secs_f64();
@@ -79,20 +93,33 @@
             rate += RATE_LEARN * ((requests - counted) as f64 / span - rate);
         }
         (counted, at) = (requests, now);
-        let (digest, near, far) = {
+        let (near, far) = {
             let mut fleet = cx.fleet.lock();
             fleet.set_rate(rate);
             let (near, far) = fleet.targets();
-            (fleet.digest(now, false), near, far)
+            let near = near.choose(&mut rand::rng()).map(|to| (fleet.digest(now, false), *to));
+            // Those that read the store also keep up the contact between regions.
+            let far = far.choose(&mut rand::rng()).filter(|_| fleet.is_reader(now));
+            (near, far.map(|to| (fleet.digest_for_others(now), *to)))
         };
-        let chosen =
-            [near.choose(&mut rand::rng()).copied(), far.choose(&mut rand::rng()).copied()];
-        for to in chosen.into_iter().flatten() {
+        for (digest, to) in near.into_iter().chain(far) {
             send(&socket, &digest, to).await;
         }
     }
 }
 
+/// Tells all hosts of the region that the store has something new.
+async fn tell_news(cx: &Cx, socket: &UdpSocket) {
+    let now = cx.now();
+    let (word, near) = {
+        let mut fleet = cx.fleet.lock();
+        (fleet.word(now), fleet.targets().0)
+    };
+    for to in near {
+        send(socket, &word, to).await;
+    }
+}
+
 /// Tells all hosts at once how far this one is.
 pub(crate) async fn announce(cx: &Cx, socket: &UdpSocket, reply: bool) {
     let now = cx.now();
--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -9,6 +9,8 @@
 mod cx;
 mod follow;
 mod gossip;
+mod knowledge;
+mod ledger;
 pub mod log;
 mod lookup;
 mod metrics;
@@ -18,6 +20,7 @@
 mod request;
 mod serve;
 pub mod settings;
+mod share;
 
 pub use node::{Node, Ports};
 pub use settings::Settings;
--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -2,25 +2,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::Context;
 use foxtail_net::Dial;
 use foxtail_steer::fleet::Phase;
-use foxtail_steer::{Fleet, Steering};
 use foxtail_types::prelude::*;
-use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::task::TaskTracker;
 
-use crate::cx::{Cx, Life};
-use crate::metrics::Metrics;
-use crate::pool::Pool;
+use crate::cx::Cx;
 use crate::ports::{Area, Dialect, Store};
 use crate::serve::{Serves, accept, listen};
 use crate::settings::Settings;
-use crate::{follow, gossip};
+use crate::{follow, gossip, share};
 
 /// The part of the time for a stop, in percent, after which idle connections are closed. Until
 /// then callers learn from look-ups and answers that the host leaves.
@@ -65,11 +61,10 @@
     ///
     /// If it can't listen at one of its addresses.
     pub async fn start(mut settings: Settings, ports: Ports) -> anyhow::Result<Self> {
-        let Ports { dial, clock, dialect, store } = ports;
+        let (peers, _) = bind(&mut settings.peer, Serves::Hosts)?;
         let socket = UdpSocket::bind(settings.peer)
             .await
             .with_context(|| format!("can't listen for hosts at {}", settings.peer))?;
-        settings.peer = socket.local_addr().context("no address for hosts")?;
         let mut listeners = vec![
             bind(&mut settings.caller, Serves::Requests)?,
             bind(&mut settings.lookup, Serves::Lookups)?,
@@ -80,19 +75,7 @@
         }
         tracing::info!(event = "start", host = %settings.host, zone = %settings.zone,
             region = %settings.region, caller = %settings.caller);
-        let cx = Arc::new(Cx {
-            steering: Mutex::new(Steering::new(settings.steering())),
-            fleet: Mutex::new(Fleet::new(settings.record(), clock.now(), clock.wall())),
-            settings: Mutex::new(Arc::new(settings)),
-            clock,
-            dialect,
-            store,
-            pool: Pool::new(dial),
-            metrics: Metrics::new(),
-            life: Life::default(),
-            requests: AtomicU64::new(0),
-            body_bytes: AtomicU64::new(0),
-        });
+        let cx = Arc::new(Cx::new(settings, ports));
         let (conns, others) = (TaskTracker::new(), TaskTracker::new());
         let node = Self { cx, socket: Arc::new(socket), tasks: TaskTracker::new(), conns, others };
         for (listener, serves) in listeners {
@@ -103,6 +86,7 @@
             let cx = Arc::clone(&node.cx);
             node.tasks.spawn(accept(cx, listener, serves, conns.clone(), stop.clone()));
         }
+        node.tasks.spawn(share::serve(Arc::clone(&node.cx), peers));
         node.spawn_followers();
         Ok(node)
     }
@@ -159,6 +143,8 @@
         cx.life.ended.cancel();
         tasks.close();
         tasks.wait().await;
+        cx.tasks.close();
+        cx.tasks.wait().await;
         others.close();
         // Connections without a request end at once when their last user is gone.
         if tokio::time::timeout(CLOSE_POOL_MOST, cx.pool.close()).await.is_err() {
--- a/foxtail-entry/src/ports.rs
+++ b/foxtail-entry/src/ports.rs
@@ -8,6 +8,7 @@
 use foxtail_steer::{Config, Upstream};
 use foxtail_types::prelude::*;
 use hyper::http::{HeaderMap, StatusCode, Uri};
+use serde::{Deserialize, Serialize};
 
 /// How callers, upstreams and the platform's checks are spoken to.
 pub trait Dialect: Send + Sync {
@@ -122,16 +123,18 @@
 }
 
 /// What the store says, at one version.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Facts {
     /// The version; changes are asked for after it.
     pub version: u64,
     /// The facts, the oldest first.
     pub facts: Vec<Fact>,
+    /// Whether they are all that the area holds, rather than changes.
+    pub whole: bool,
 }
 
 /// One row of the store, decoded.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Fact {
     /// The configuration.
     Config(Box<Config>),
@@ -145,7 +148,12 @@
     /// An upstream is registered.
     Upstream(Upstream),
     /// An upstream's registration is gone.
-    UpstreamGone(UpstreamId),
+    UpstreamGone {
+        /// The upstream.
+        id: UpstreamId,
+        /// Whether it may have lapsed while the store was out, and come back soon.
+        lapsed: bool,
+    },
     /// A host is registered.
     Host(Record),
     /// A row that can't be read; it names nothing.
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -39,6 +39,8 @@
     Health,
     /// The page of metrics.
     Metrics,
+    /// Other hosts' questions.
+    Hosts,
 }
 
 /// Opens a listener at `addr`.
@@ -110,5 +112,6 @@
         Serves::Lookups => lookup::lookup(&cx, &req),
         Serves::Health => lookup::health(&cx, &req),
         Serves::Metrics => lookup::metrics(&cx, &req),
+        Serves::Hosts => unreachable!("hosts are answered by the share service"),
     }
 }
--- a/foxtail-entry/tests/following.rs
+++ b/foxtail-entry/tests/following.rs
@@ -153,3 +153,64 @@
     assert_eq!(up.runs(), before);
     node.stop().await;
 }
+
+#[tokio::test]
+async fn few_hosts_read_the_store_and_all_learn_of_changes() {
+    let world = World::new();
+    world.configure(7);
+    let _up = world.upstream("up-1", "a1").await;
+    let seats = foxtail_standin::service::Service::start("up-2", 3).await.unwrap();
+    world.store.put("servers", "up-2", &seats.registration("seats", "a1", "ready", 0.0));
+    let mut hosts = Vec::new();
+    for n in 0..6 {
+        let door = world.door().await;
+        let node = world.host(&format!("h-{n}"), "a1", &door).await;
+        hosts.push((node, door));
+    }
+    for (node, _) in &hosts {
+        until("all are ready", async || ready(node).await).await;
+    }
+    let feeds = |hosts: &[(Node, foxtail_standin::store::Door)]| {
+        hosts.iter().filter(|(_, door)| door.counts().contains_key("/rows-feed")).count()
+    };
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    world.configure_with(12, "seats", 2.0);
+    for (node, _) in &hosts {
+        until("it uses the new configuration", async || {
+            let before = seats.runs();
+            status(node, "/read/1").await;
+            seats.runs() > before
+        })
+        .await;
+    }
+    assert!((1..=3).contains(&feeds(&hosts)), "{} read the store", feeds(&hosts));
+    for (node, _) in hosts {
+        node.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn a_host_whose_store_is_out_learns_from_others() {
+    let world = World::new();
+    world.configure(7);
+    let up = world.upstream("up-1", "a1").await;
+    let seats = foxtail_standin::service::Service::start("up-2", 3).await.unwrap();
+    world.store.put("servers", "up-2", &seats.registration("seats", "a1", "ready", 0.0));
+    let good = world.door().await;
+    let bad = world.door().await;
+    let first = world.ready_host("h-1", "a1", &good).await;
+    let second = world.ready_host("h-2", "a1", &bad).await;
+    for (version, fault) in [(20, Fault::Silent), (21, Fault::Unavailable), (22, Fault::Reset)] {
+        bad.set_fault(fault);
+        world.configure_with(version, if version % 2 == 0 { "seats" } else { "books" }, 2.0);
+        let service = if version % 2 == 0 { &seats } else { &up };
+        until("it uses the new configuration", async || {
+            let before = service.runs();
+            status(&second, "/read/1").await;
+            service.runs() > before
+        })
+        .await;
+    }
+    first.stop().await;
+    second.stop().await;
+}
--- a/foxtail-wire/src/codec.rs
+++ b/foxtail-frame/src/lib.rs
@@ -1,18 +1,20 @@
-//! The codec between hosts: postcard in length-delimited frames.
+//! The transport between hosts: postcard in length-delimited frames.
 
 use std::pin::Pin;
 
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
+use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::{Deserializer, Serializer};
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// The largest frame between hosts, in bytes: room for a whole configuration.
 const FRAME_MAX_BYTES: usize = 16 << 20;
 
 /// Postcard behind the traits of `tokio-serde`.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Postcard;
+pub struct Postcard;
 
 impl<T: Serialize> Serializer<T> for Postcard {
     type Error = std::io::Error;
@@ -30,6 +32,13 @@
     }
 }
 
-pub(crate) fn frames() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec()
+/// A transport of typed messages over `stream`.
+pub fn transport<S, In, Out>(stream: S) -> Transport<S, In, Out, Postcard>
+where
+    S: AsyncRead + AsyncWrite,
+    In: for<'a> Deserialize<'a>,
+    Out: Serialize,
+{
+    let frames = LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec();
+    tarpc::serde_transport::new(Framed::new(stream, frames), Postcard)
 }
--- a/foxtail-steer/src/config.rs
+++ b/foxtail-steer/src/config.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 
 use foxtail_types::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// A whole configuration. Higher versions replace lower ones.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(from = "Parts", into = "Parts")]
 pub struct Config {
     /// Its version.
     pub version: Version,
@@ -16,8 +18,30 @@
     by_host: HashMap<String, Vec<usize>>,
 }
 
+/// A configuration as hosts send it to each other.
+#[derive(Serialize, Deserialize)]
+struct Parts {
+    version: Version,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    limits: CallerLimits,
+}
+
+impl From<Parts> for Config {
+    fn from(parts: Parts) -> Self {
+        Config::new(parts.version, parts.routes, parts.services, parts.limits)
+    }
+}
+
+impl From<Config> for Parts {
+    fn from(cfg: Config) -> Self {
+        let Config { version, routes, services, limits, .. } = cfg;
+        Parts { version, routes, services: services.into_values().collect(), limits }
+    }
+}
+
 /// Where requests of a host name and path prefix go, and how they are treated.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, for logs.
     pub name: String,
@@ -44,7 +68,7 @@
 }
 
 /// One service's share of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// The service.
     pub service: ServiceId,
@@ -53,7 +77,7 @@
 }
 
 /// What upstreams of a service have in common.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceId,
@@ -66,7 +90,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// The largest request head, in bytes.
     pub head_bytes: usize,
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -19,6 +19,18 @@
 /// of which may be lost.
 pub const SILENCE: Millis = Millis(2_500);
 
+/// The same for hosts of other regions, whose digests come by few ways. What they are needed for,
+/// callers whose own region has no host left, can wait.
+pub const FAR_SILENCE: Millis = Millis(6_000);
+
+/// How many hosts of a region read the store for the others. Any host that hears of a newer version
+/// gets it from the one that told, so that all readers of all regions have to fail before hosts that
+/// reach the store miss a change.
+const READERS: usize = 2;
+
+/// One in this many digests tells of the hosts of all regions, the others of the own region's only.
+const ALL_EVERY: u64 = 4;
+
 /// How many requests a second one entry host is given before callers are sent to one more.
 const HOST_RATE: f64 = 70.0;
 
@@ -65,6 +77,18 @@
     pub phase: Phase,
     /// Callers' requests a second.
     pub rate: u16,
+    /// Whether the store fails it.
+    pub store_lost: bool,
+}
+
+/// The newest versions of the store's areas that a host knows.
+#[id]
+#[derive(Default)]
+pub struct Versions {
+    /// Of what operators write.
+    pub operators: u64,
+    /// Of the upstreams' registrations.
+    pub upstreams: u64,
 }
 
 /// What hosts send each other.
@@ -72,7 +96,9 @@
 pub struct Digest {
     /// The sender.
     pub from: Record,
-    /// What it knows of all hosts, itself first.
+    /// What it knows of the store.
+    pub versions: Versions,
+    /// What it knows of hosts, itself first.
     pub beats: Vec<Beat>,
     /// Whether the receiver should send its own at once.
     pub reply: bool,
@@ -86,6 +112,7 @@
     heard: Option<Millis>,
     phase: Phase,
     rate: u16,
+    store_lost: bool,
 }
 
 /// What a host believes of the fleet.
@@ -95,6 +122,8 @@
     peers: BTreeMap<u32, Peer>,
     /// Beat minus local time, fixed at the start.
     beat_offset: u64,
+    versions: Versions,
+    digests: u64,
 }
 
 impl Fleet {
@@ -110,8 +139,15 @@
             heard: Some(now),
             phase: Phase::Starting,
             rate: 0,
+            store_lost: false,
         };
-        Self { me: id.clone(), peers: BTreeMap::from([(short(&id), own)]), beat_offset }
+        Self {
+            me: id.clone(),
+            peers: BTreeMap::from([(short(&id), own)]),
+            beat_offset,
+            versions: Versions::default(),
+            digests: 0,
+        }
     }
 
     /// This host's own record.
@@ -141,8 +177,15 @@
             Some(peer) if record.id != self.me => peer.record = record,
             Some(_) => {}
             None => {
-                let phase = Phase::Starting;
-                self.peers.insert(key, Peer { record, beat: 0, heard: None, phase, rate: 0 });
+                let peer = Peer {
+                    record,
+                    beat: 0,
+                    heard: None,
+                    phase: Phase::Starting,
+                    rate: 0,
+                    store_lost: false,
+                };
+                self.peers.insert(key, peer);
             }
         }
     }
@@ -150,13 +193,14 @@
     /// Takes in a digest, and tells whether a host came up or changed its phase.
     pub fn receive(&mut self, digest: &Digest, now: Millis) -> Vec<(HostId, Phase)> {
         let mut changed = Vec::new();
+        let region = self.me().region.clone();
         self.learn(digest.from.clone());
         for beat in &digest.beats {
             let Some(peer) = self.peers.get_mut(&beat.host) else { continue };
             if peer.record.id == self.me || beat.beat <= peer.beat {
                 continue;
             }
-            let was_alive = alive(peer, now);
+            let was_alive = alive(peer, &region, now);
             if !was_alive || peer.phase != beat.phase {
                 changed.push((peer.record.id.clone(), beat.phase));
             }
@@ -164,30 +208,76 @@
             peer.heard = Some(now);
             peer.phase = beat.phase;
             peer.rate = beat.rate;
+            peer.store_lost = beat.store_lost;
         }
         changed
     }
 
-    /// This host's digest at `now`.
+    /// Sets what this host knows of the store.
+    pub fn set_versions(&mut self, versions: Versions) {
+        self.versions = versions;
+    }
+
+    /// Sets whether the store fails this host.
+    pub fn set_store_lost(&mut self, lost: bool) {
+        self.own().store_lost = lost;
+    }
+
+    /// Whether this host reads the store for its region.
+    pub fn is_reader(&self, now: Millis) -> bool {
+        let region = &self.me().region;
+        let able = |peer: &&Peer| {
+            let mine = peer.record.id == self.me;
+            let fit = !peer.store_lost && peer.phase != Phase::Leaving;
+            peer.record.region == *region && (mine || fit) && alive(peer, region, now)
+        };
+        let key = rendezvous::digest("readers");
+        let weight = |peer: &Peer| rendezvous::weight(key, peer.record.id.as_str());
+        let own = &self.peers[&short(&self.me)];
+        let ahead = self.peers.values().filter(able).filter(|peer| weight(peer) > weight(own));
+        ahead.count() < READERS
+    }
+
+    /// This host's digest at `now`, for a host of its own region.
     pub fn digest(&mut self, now: Millis, reply: bool) -> Digest {
+        self.digests += 1;
+        let all = reply || self.digests.is_multiple_of(ALL_EVERY);
+        self.digest_of(now, reply, all)
+    }
+
+    /// A digest that tells of the hosts of the own region only, for hosts of others.
+    pub fn digest_for_others(&mut self, now: Millis) -> Digest {
+        self.digest_of(now, false, false)
+    }
+
+    /// A digest that tells of this host only.
+    pub fn word(&mut self, now: Millis) -> Digest {
+        let mut word = self.digest_of(now, false, false);
+        word.beats.truncate(1);
+        word
+    }
+
+    fn digest_of(&mut self, now: Millis, reply: bool, far: bool) -> Digest {
         let beat = self.beat_offset + now.0;
         let own = self.own();
         own.beat = own.beat.max(beat);
         own.heard = Some(now);
         let from = own.record.clone();
         let first = short(&from.id);
-        let mine = std::iter::once(&first);
-        let others = self.peers.keys().filter(|key| **key != first);
+        let others = self.peers.iter().filter(|(key, peer)| {
+            let told = far || peer.record.region == from.region;
+            **key != first && told && alive(peer, &from.region, now)
+        });
+        let mine = self.peers.get_key_value(&first);
         let beats = mine
+            .into_iter()
             .chain(others)
-            .filter_map(|key| {
-                let peer = &self.peers[key];
-                let known = alive(peer, now);
-                let Peer { beat, phase, rate, .. } = *peer;
-                known.then_some(Beat { host: *key, beat, phase, rate })
+            .map(|(key, peer)| {
+                let Peer { beat, phase, rate, store_lost, .. } = *peer;
+                Beat { host: *key, beat, phase, rate, store_lost }
             })
             .collect();
-        Digest { from, beats, reply }
+        Digest { from, versions: self.versions, beats, reply }
     }
 
     /// Where digests may be sent: all hosts but this one, those of its region first.
@@ -206,7 +296,8 @@
 
     /// How many hosts are alive.
     pub fn alive(&self, now: Millis) -> usize {
-        self.peers.values().filter(|peer| alive(peer, now)).count()
+        let region = &self.me().region;
+        self.peers.values().filter(|peer| alive(peer, region, now)).count()
     }
 
     /// The hosts that callers in `region` are told to use, with their requests' rate in mind.
@@ -236,8 +327,9 @@
 
     /// The hosts of `region` that callers use.
     fn active(&self, region: &RegionId, now: Millis) -> Vec<&Record> {
+        let own = &self.me().region;
         let serving = |peer: &&Peer| {
-            peer.record.region == *region && peer.phase == Phase::Serving && alive(peer, now)
+            peer.record.region == *region && peer.phase == Phase::Serving && alive(peer, own, now)
         };
         let mut hosts: Vec<&Peer> = self.peers.values().filter(serving).collect();
         let rate: f64 = hosts.iter().map(|peer| f64::from(peer.rate)).sum();
@@ -267,8 +359,10 @@
     ranked.into_iter().take(wanted).map(|(_, _, record)| record).collect()
 }
 
-fn alive(peer: &Peer, now: Millis) -> bool {
-    peer.heard.is_some_and(|heard| now.since(heard) <= SILENCE)
+/// Whether `peer` is taken for alive by a host of region `own`.
+fn alive(peer: &Peer, own: &RegionId, now: Millis) -> bool {
+    let silence = if peer.record.region == *own { SILENCE } else { FAR_SILENCE };
+    peer.heard.is_some_and(|heard| now.since(heard) <= silence)
 }
 
 fn short(id: &HostId) -> u32 {
--- a/foxtail-steer/src/upstream.rs
+++ b/foxtail-steer/src/upstream.rs
@@ -5,7 +5,7 @@
 use foxtail_types::prelude::*;
 
 /// One registered upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[value]
 pub struct Upstream {
     /// Its identifier. Mostly each start has a new one.
     pub id: UpstreamId,
--- a/foxtail-wire/src/lib.rs
+++ b/foxtail-wire/src/lib.rs
@@ -1,6 +1,5 @@
 //! Services between hosts (tarpc) and towards operators (jsonrpsee).
 
-mod codec;
 pub mod operator;
 pub mod peer;
 pub mod peers;
--- a/foxtail-wire/src/peer.rs
+++ b/foxtail-wire/src/peer.rs
@@ -16,12 +16,9 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::codec::{Postcard, frames};
-
 /// How long the accept loop rests after the operating system refused a connection.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
@@ -136,7 +133,7 @@
         log_lost(from, &e);
         return;
     }
-    let transport = tarpc::serde_transport::new(Framed::new(stream, frames()), Postcard);
+    let transport = foxtail_frame::transport(stream);
     let requests = BaseChannel::with_defaults(transport).execute(Server { handler }.serve());
     let answering = requests.for_each_concurrent(None, |answering| answering);
     stop.run_until_cancelled(answering).await;
--- a/foxtail-wire/src/peers.rs
+++ b/foxtail-wire/src/peers.rs
@@ -11,9 +11,7 @@
 use tarpc::client::{Config, RpcError};
 use tarpc::context::Context;
 use tokio::task::JoinSet;
-use tokio_util::codec::Framed;
 
-use crate::codec::{Postcard, frames};
 use crate::peer::PeerClient;
 
 /// Clients to other hosts.
@@ -106,7 +104,7 @@
 
     async fn connect(&self, addr: SocketAddr) -> std::io::Result<PeerClient> {
         let stream = self.dial.dial(addr).await?;
-        let transport = tarpc::serde_transport::new(Framed::new(stream, frames()), Postcard);
+        let transport = foxtail_frame::transport(stream);
         let tarpc::client::NewClient { client, dispatch } =
             PeerClient::new(Config::default(), transport);
         let mut tasks = self.tasks.lock();
