--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -6,7 +6,7 @@
 //! the upstream that answers first spoils that: each request that evades a queue makes one more
 //! upstream load its object and drop another one, until nothing is cached where it is needed.
 //!
-//! So each object has designated upstreams, the same on every host: two in the region of its callers
+//! So each object has designated upstreams, the same on every host: one in the region of its callers
 //! and one elsewhere for what the region can't carry. For each upstream the chance of an answer in
 //! time is set against the slot time that the request takes from others there, which costs nothing
 //! while slots are free. The best one gets the request; if it is worth less than nothing, all that
@@ -36,8 +36,8 @@
 /// What an answer's delay costs, in late or early answers alike, for each objective that it takes.
 const DELAY_COST: f64 = 0.05;
 
-/// What it costs to load an object into the full cache of an upstream that is not designated for it.
-const EVICTION_COST: f64 = 0.3;
+/// What it costs to load an object into the cache of an upstream that is not designated for it.
+const EVICTION_COST: f64 = 0.6;
 
 /// What crossing between regions costs, for the bytes on links that all traffic shares.
 const CROSSING_COST: f64 = 0.03;
@@ -49,6 +49,9 @@
 /// The utilization from which slot time costs something; it rises to the full cost at 1.
 const BUSY_FROM: f64 = 0.6;
 
+/// An upstream with a lower utilization has slots to spare for any request.
+const IDLE_BELOW: f64 = 0.3;
+
 /// The utilization beyond 1 that counts, for queues.
 const BUSY_MOST: f64 = 1.5;
 
@@ -116,6 +119,8 @@
     pub report_age: Millis,
     /// How many upstreams could take the request.
     pub candidates: usize,
+    /// The share of the upstream's slots that is taken, averaged.
+    pub utilization: f64,
     /// The chance of an answer within the objective.
     pub in_time: f64,
     /// What sending it is worth against the slot time that it takes.
@@ -132,9 +137,9 @@
 }
 
 impl Candidate {
-    /// Whether the upstream has a slot free for the request.
+    /// Whether the upstream has slots free, and not just between two requests.
     fn is_idle(&self) -> bool {
-        self.why.wait_ms <= 0.0
+        self.why.wait_ms <= 0.0 && self.why.utilization < IDLE_BELOW
     }
 }
 
@@ -149,8 +154,6 @@
     warm: f64,
     /// Whether the upstream is meant to have it.
     designated: bool,
-    /// How full the upstream's cache is believed to be, from 0 to 1.
-    occupied: f64,
 }
 
 impl Steering {
@@ -159,7 +162,7 @@
         let work = *self.work_of(req.service, req.route.objective);
         let Some(all) = self.by_service.get(req.service) else { return Placement::NoUpstream };
         let all = all.clone();
-        let designated = self.designated(&all, req);
+        let designated = self.designated(&all, req, now);
         self.survey(now);
         let regions: Vec<RegionId> = self.options.zones.values().cloned().collect();
         let mut capped = regions;
@@ -223,9 +226,9 @@
     }
 
     /// How the request's object stands with the upstream at `at`.
-    fn cached(&mut self, at: usize, designated: &[Option<usize>; 3], req: &Request<'_>) -> Cached {
+    fn cached(&mut self, at: usize, designated: &[Option<usize>; 2], req: &Request<'_>) -> Cached {
         let Some(object) = req.object else {
-            return Cached { warm: 0.0, designated: true, occupied: 0.0 };
+            return Cached { warm: 0.0, designated: true };
         };
         let cache = *self.cache_of(req.service);
         let rank = designated.iter().position(|other| *other == Some(at));
@@ -236,8 +239,7 @@
             (None, Some(_)) => OTHER_WARM,
             (None, None) => 0.0,
         };
-        let occupied = cache.occupied(self.table[at].objects.len());
-        Cached { warm, designated: rank.is_some(), occupied }
+        Cached { warm, designated: rank.is_some() }
     }
 
     /// What is expected of one upstream.
@@ -266,7 +268,7 @@
         let slot_ms = if cached.designated { work.warm_ms * pace } else { work_ms };
         let crossing = if known.region == self.options.region { 0.0 } else { CROSSING_COST };
         let loads = if cached.designated { 0.0 } else { 1.0 - cached.warm };
-        let eviction = loads * cached.occupied * EVICTION_COST;
+        let eviction = loads * EVICTION_COST;
         let utility = worth * (1.0 - known.errors_at(now))
             - BUSY_COST * busy * slot_ms / work.warm_ms.max(1.0)
             - DELAY_COST * expected_ms / objective
@@ -277,6 +279,7 @@
             wait_ms,
             load: known.load(now),
             report_age: now.since(known.reported),
+            utilization,
             in_time,
             utility,
             candidates: 0,
@@ -304,11 +307,13 @@
         sender == Some(&self.options.host) && self.table[at].cold.ready(now)
     }
 
-    /// The upstreams that are meant to have the request's object cached: the first and the second
-    /// in this region, and one in the others, of which those with more slots get more objects.
-    fn designated(&self, all: &[usize], req: &Request<'_>) -> [Option<usize>; 3] {
-        let Some(object) = req.object else { return [None; 3] };
-        let in_use = || all.iter().copied().filter(|at| self.in_use(*at));
+    /// The upstreams that are meant to have the request's object cached: one in this region, and one
+    /// in the others, of which those with more slots get more objects. Without other regions it is
+    /// the second one in this region. Upstreams that fail or are slow stand back for the next ones.
+    fn designated(&self, all: &[usize], req: &Request<'_>, now: Millis) -> [Option<usize>; 2] {
+        let Some(object) = req.object else { return [None; 2] };
+        let well = |at: &usize| self.in_use(*at) && self.table[*at].is_well(now);
+        let in_use = || all.iter().copied().filter(well);
         let mut slots: Vec<(&RegionId, f64)> = Vec::new();
         for at in in_use() {
             let known = &self.table[at];
@@ -337,7 +342,9 @@
                 near[1] = near[1].max(weighed);
             }
         }
-        [near[0].map(|(_, at)| at), None, far.map(|(_, at)| at)]
+        let first = near[0].map(|(_, at)| at);
+        let second = far.map(|(_, at)| at).or(near[1].map(|(_, at)| at));
+        [first, second]
     }
 
     /// Whether an upstream is registered and may have new work.
--- a/foxtail-steer/src/estimate.rs
+++ b/foxtail-steer/src/estimate.rs
@@ -86,11 +86,6 @@
         (1.4 - past * 0.8).clamp(0.05, 0.95)
     }
 
-    /// How full a cache is that has `objects` in it, from 0 to 1.
-    pub(crate) fn occupied(self, objects: usize) -> f64 {
-        (objects as f64 / self.0).min(1.0)
-    }
-
     /// Learns from an answer about an object that was last handled `distance` objects before.
     pub(crate) fn learn(&mut self, distance: usize, cold: bool) {
         let distance = distance as f64;
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -37,6 +37,12 @@
 /// Consecutive lost answers after which an upstream is left alone for a moment.
 const BROKEN_MOST: u32 = 3;
 
+/// An upstream that fails a larger share of its requests stands back for others.
+const UNWELL_ERRORS: f64 = 0.5;
+
+/// An upstream that takes more times as long as expected stands back for others.
+const UNWELL_PACE: f64 = 2.0;
+
 /// A reported load of others fades to its average over this many milliseconds.
 const REPORT_FADES_MS: f64 = 300.0;
 
@@ -544,6 +550,13 @@
         1.0 + (self.pace - 1.0) * fade(now.since(self.blamed).0 as f64, BLAME_FADES_MS)
     }
 
+    /// Whether it is fit to be the one that has an object cached.
+    pub(crate) fn is_well(&self, now: Millis) -> bool {
+        self.down_until <= now
+            && self.errors_at(now) < UNWELL_ERRORS
+            && self.pace_at(now) < UNWELL_PACE
+    }
+
     /// The share of requests that it is believed to fail.
     pub(crate) fn errors_at(&self, now: Millis) -> f64 {
         self.errors * fade(now.since(self.blamed).0 as f64, BLAME_FADES_MS)
@@ -592,11 +605,6 @@
         self.order.iter().rev().position(|&held| held == object)
     }
 
-    /// How many objects are remembered.
-    pub(crate) fn len(&self) -> usize {
-        self.order.len()
-    }
-
     fn touch(&mut self, object: u64) {
         if self.order.back() == Some(&object) {
             return;
