--- a/foxtailctl/src/flags.rs
+++ b/foxtailctl/src/flags.rs
@@ -137,10 +137,14 @@
         }
         /// Print the state of the site: hosts, versions and headroom.
         cmd status {}
-        /// Print the last decisions on a request or a workspace.
+        /// Print the last decisions on a request or a workspace. With logs of entry hosts, tell the
+        /// story of a request from them; no host is asked.
         cmd explain {
-            /// A workspace, or the identifier in an answer's x-foxtail-request header.
+            /// A workspace, or the identifier in an answer's x-foxtail-request header; with logs, the
+            /// identifier that the caller gave its request.
             required what: String
+            /// A log of an entry host; `-` is standard input. May be given several times.
+            repeated --log log: PathBuf
         }
     }
 }
--- a/foxtailctl/src/main.rs
+++ b/foxtailctl/src/main.rs
@@ -13,6 +13,7 @@
 mod output;
 mod settings;
 mod site;
+mod story;
 mod wait;
 mod workspaces;
 
@@ -37,6 +38,11 @@
 }
 
 fn start(flags: Foxtailctl, out: &Output) -> Result<(), Failure> {
+    if let FoxtailctlCmd::Explain(cmd) = &flags.subcommand
+        && !cmd.log.is_empty()
+    {
+        return story::tell(&cmd.what, &cmd.log, out);
+    }
     let settings = Settings::load(&flags)?;
     let client = Client::new(&settings)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/foxtailctl/src/output.rs
+++ b/foxtailctl/src/output.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use crate::exit::Failure;
+use crate::story::Line;
 
 /// Prints to standard output; notes and failures go to standard error.
 pub(crate) struct Output {
@@ -31,6 +32,16 @@
         eprintln!("{text}");
     }
 
+    /// The story of a request.
+    pub(crate) fn story(&self, lines: &[Line]) {
+        if self.json {
+            return self.json(&lines);
+        }
+        for line in lines {
+            println!("{}", line.sentence());
+        }
+    }
+
     pub(crate) fn failure(&self, failure: &Failure) {
         eprintln!("foxtailctl: {failure}");
         if self.json {
--- /dev/null
+++ b/foxtailctl/src/story.rs
@@ -0,0 +1,154 @@
+//! The story of a request, from the logs of entry hosts.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+
+use anyhow::Context;
+use serde::Serialize;
+
+use crate::exit::Failure;
+use crate::output::Output;
+
+/// Events of an upstream or the store this many seconds before a request's last line belong to its
+/// story: they tell what its host believed.
+const BEFORE_S: f64 = 3.0;
+
+/// Events that change what a host believes of the whole site.
+const SITE_EVENTS: [&str; 6] =
+    ["store_lost", "store_regained", "config", "evacuation", "reload", "stop"];
+
+/// Events that change what a host believes of an upstream.
+const UPSTREAM_EVENTS: [&str; 3] = ["upstream", "upstream_gone", "connect_failed"];
+
+/// One line of a log.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Line {
+    at: String,
+    #[serde(skip)]
+    seconds: f64,
+    source: String,
+    event: String,
+    fields: BTreeMap<String, String>,
+}
+
+/// Prints what the logs in `files` tell of the request `id`; `-` is standard input.
+pub(crate) fn tell(id: &str, files: &[std::path::PathBuf], out: &Output) -> Result<(), Failure> {
+    let mut lines = Vec::new();
+    for file in files {
+        lines.extend(read(file)?);
+    }
+    let story = story(id, lines);
+    if story.is_empty() {
+        return Err(Failure::Usage(format!(
+            "no line of these logs names request `{id}`; give the logs of all hosts it may have met"
+        )));
+    }
+    out.story(&story);
+    Ok(())
+}
+
+fn read(file: &Path) -> Result<Vec<Line>, Failure> {
+    let source = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    let input: Box<dyn BufRead> = if file.as_os_str() == "-" {
+        Box::new(BufReader::new(std::io::stdin()))
+    } else {
+        let opened = std::fs::File::open(file);
+        Box::new(BufReader::new(
+            opened.with_context(|| format!("can't read log `{}`", file.display()))?,
+        ))
+    };
+    let mut lines = Vec::new();
+    for line in input.lines() {
+        let line = line.with_context(|| format!("can't read log `{}`", file.display()))?;
+        lines.extend(parse(&source, &line));
+    }
+    Ok(lines)
+}
+
+/// The lines that name the request, and what its hosts learned shortly before of the upstreams that
+/// it was offered to, in order of time.
+fn story(id: &str, lines: Vec<Line>) -> Vec<Line> {
+    let named = |line: &&Line| line.fields.get("request").is_some_and(|other| other == id);
+    let own: Vec<Line> = lines.iter().filter(named).cloned().collect();
+    let Some(last) = own.iter().map(|line| line.seconds).max_by(f64::total_cmp) else {
+        return Vec::new();
+    };
+    let first = own.iter().map(|line| line.seconds).fold(last, f64::min);
+    let offered: Vec<&String> = own.iter().filter_map(|line| line.fields.get("upstream")).collect();
+    let hosts: Vec<&String> = own.iter().map(|line| &line.source).collect();
+    let context = |line: &&Line| {
+        let of_upstream = UPSTREAM_EVENTS.contains(&line.event.as_str())
+            && line.fields.get("upstream").is_some_and(|up| offered.contains(&up));
+        let of_site = SITE_EVENTS.contains(&line.event.as_str());
+        let near = (first - BEFORE_S..=last).contains(&line.seconds);
+        hosts.contains(&&line.source) && near && (of_upstream || of_site) && !named(line)
+    };
+    let mut story: Vec<Line> = lines.iter().filter(context).cloned().collect();
+    story.extend(own.iter().cloned());
+    story.sort_by(|a, b| a.seconds.total_cmp(&b.seconds));
+    story
+}
+
+/// Takes one line of key=value pairs apart. What stands before `ts=`, a collector's prefix, names
+/// the source if the line has one.
+fn parse(source: &str, line: &str) -> Option<Line> {
+    let (prefix, rest) = line.split_at(line.find("ts=")?);
+    let mut fields = BTreeMap::new();
+    let mut rest = rest.trim();
+    while let Some((key, after)) = rest.split_once('=') {
+        let (value, next) = match after.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+            None => after.split_once(' ').unwrap_or((after, "")),
+        };
+        fields.insert(key.trim().to_owned(), value.to_owned());
+        rest = next.trim_start();
+    }
+    let at = fields.remove("ts")?;
+    let event = fields.remove("event")?;
+    let seconds = humantime::parse_rfc3339_weak(&at).ok()?;
+    let seconds = seconds.duration_since(std::time::UNIX_EPOCH).ok()?.as_secs_f64();
+    let source = prefix.split_whitespace().last().unwrap_or(source).to_owned();
+    fields.remove("level");
+    fields.remove("target");
+    Some(Line { at, seconds, source, event, fields })
+}
+
+impl Line {
+    /// The line as a sentence.
+    pub(crate) fn sentence(&self) -> String {
+        let field = |name: &str| self.fields.get(name).map_or("?", String::as_str);
+        let said = match self.event.as_str() {
+            "placed" => format!(
+                "placed on {} of {}: expected in {} ms, of which {} ms wait; load {}, reported {} \
+                 ms ago; chance in time {}, utility {}; {} candidates; configuration {}",
+                field("upstream"),
+                field("service"),
+                field("expected_ms"),
+                field("wait_ms"),
+                field("load"),
+                field("report_age_ms"),
+                field("in_time"),
+                field("utility"),
+                field("candidates"),
+                field("version"),
+            ),
+            "attempt" => {
+                format!("{} {} after {} ms", field("upstream"), field("outcome"), field("took_ms"))
+            }
+            "request" => format!(
+                "ended: {} with status {} after {} ms and {} offers; configuration {}",
+                field("outcome"),
+                field("status"),
+                field("took_ms"),
+                field("offers"),
+                field("version"),
+            ),
+            event => {
+                let pairs = self.fields.iter().map(|(key, value)| format!("{key}={value}"));
+                format!("{event} {}", pairs.collect::<Vec<_>>().join(" "))
+            }
+        };
+        format!("{} {} {said}", self.at, self.source)
+    }
+}
