--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -288,7 +288,7 @@
             expected_ms = why.expected_ms as u64,
             wait_ms = why.wait_ms as u64,
             load = format_args!("{:.1}", why.load),
-            report_age_ms = why.report_age.0,
+            report_age_ms = why.report_age.map(|age| age.0),
             in_time = format_args!("{:.2}", why.in_time),
             utility = format_args!("{:.2}", why.utility),
             candidates = why.candidates,
@@ -326,7 +326,7 @@
             retry_after_ms = refusal.retry_after.map(|after| after.0),
             expected_ms = why.map(|why| why.expected_ms as u64),
             wait_ms = why.map(|why| why.wait_ms as u64),
-            report_age_ms = why.map(|why| why.report_age.0),
+            report_age_ms = why.and_then(|why| why.report_age).map(|age| age.0),
             utility = why.map(|why| why.utility),
             version = %self.version,
         );
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -115,8 +115,8 @@
     pub wait_ms: f64,
     /// Requests that the upstream is believed to have.
     pub load: f64,
-    /// How old its last report of load is.
-    pub report_age: Millis,
+    /// How old its last report of load is, if it made one.
+    pub report_age: Option<Millis>,
     /// How many upstreams could take the request.
     pub candidates: usize,
     /// The share of the upstream's slots that is taken, averaged.
@@ -278,7 +278,7 @@
             expected_ms,
             wait_ms,
             load: known.load(now),
-            report_age: now.since(known.reported),
+            report_age: known.reported.map(|at| now.since(at)),
             utilization,
             in_time,
             utility,
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -115,7 +115,7 @@
     /// Requests of others at the last report, and their average over all reports.
     pub(crate) others: f64,
     pub(crate) others_avg: f64,
-    pub(crate) reported: Millis,
+    pub(crate) reported: Option<Millis>,
     utilization: f64,
     /// How long its work takes against what was expected.
     pub(crate) pace: f64,
@@ -500,7 +500,7 @@
             own: 0,
             others: 0.0,
             others_avg: 0.0,
-            reported: Millis::ZERO,
+            reported: None,
             utilization: 0.0,
             pace: 1.0,
             errors: 0.0,
@@ -526,14 +526,18 @@
 
     /// Requests that it is believed to have, of this host and of others.
     pub(crate) fn load(&self, now: Millis) -> f64 {
-        let age = now.since(self.reported).0 as f64;
+        let age = self.report_age_ms(now);
         let others = self.others_avg + (self.others - self.others_avg) * fade(age, REPORT_FADES_MS);
         f64::from(self.own) + others
     }
 
+    fn report_age_ms(&self, now: Millis) -> f64 {
+        self.reported.map_or(f64::INFINITY, |at| now.since(at).0 as f64)
+    }
+
     /// The share of its slots that is taken, over 1 where requests wait; averaged over reports.
     pub(crate) fn utilization(&self, now: Millis) -> f64 {
-        let age = now.since(self.reported).0 as f64;
+        let age = self.report_age_ms(now);
         let own = f64::from(self.own) / f64::from(self.up.slots.max(1));
         (self.utilization * fade(age, UTILIZATION_FADES_MS)).max(own)
     }
@@ -569,7 +573,7 @@
         let utilization = all / f64::from(load.slots.max(1));
         let held = self.utilization(now);
         self.utilization = held + UTILIZATION_LEARN * (utilization - held);
-        self.reported = now;
+        self.reported = Some(now);
         if load.slots > 0 {
             self.up.slots = load.slots;
         }
