feat(steer): an object that is asked for often gets a place in more caches; no fallback to any free slot

What the fallback was for, an object that its designated upstreams can't carry, is met by a cost of eviction that falls with the object's popularity; its test refuses requests without that.

--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -164,7 +164,8 @@
         let mut steering = cx.steering.lock();
         let service = steering.split(route).cloned();
         if let Some(service) = &service {
-            steering.arrived(service, hosts, cx.now());
+            let object = story.call.object.filter(|_| route.affinity);
+            steering.arrived(service, object, hosts, cx.now());
         }
         service
     };
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -49,9 +49,6 @@
 /// The utilization from which slot time costs something; it rises to the full cost at 1.
 const BUSY_FROM: f64 = 0.6;
 
-/// An upstream with a lower utilization has slots to spare for any request.
-const IDLE_BELOW: f64 = 0.3;
-
 /// The utilization beyond 1 that counts, for queues.
 const BUSY_MOST: f64 = 1.5;
 
@@ -130,19 +127,11 @@
 }
 
 /// One upstream under consideration.
-#[derive(Clone)]
 struct Candidate {
     at: usize,
     why: Why,
 }
 
-impl Candidate {
-    /// Whether the upstream has slots free, and not just between two requests.
-    fn is_idle(&self) -> bool {
-        self.why.wait_ms <= 0.0 && self.why.utilization < IDLE_BELOW
-    }
-}
-
 fn better(candidate: &Candidate, held: Option<&Candidate>) -> bool {
     held.is_none_or(|held| candidate.why.utility > held.why.utility)
 }
@@ -154,6 +143,8 @@
     warm: f64,
     /// Whether the upstream is meant to have it.
     designated: bool,
+    /// What loading it there costs.
+    eviction: f64,
 }
 
 impl Steering {
@@ -172,7 +163,6 @@
         let mut best: Option<Candidate> = None;
         let mut held_back: Option<Candidate> = None;
         let mut resort: Option<Candidate> = None;
-        let mut idle: Option<Candidate> = None;
         let mut candidates = 0;
         for at in all {
             if !self.allowed(at, req) || !self.may_warm(at, fleet, now) {
@@ -188,9 +178,6 @@
                 (false, false) => &mut best,
             };
             candidates += usize::from(!down);
-            if !down && candidate.is_idle() && better(&candidate, idle.as_ref()) {
-                idle = Some(candidate.clone());
-            }
             if better(&candidate, held.as_ref()) {
                 *held = Some(candidate);
             }
@@ -198,19 +185,17 @@
         let best = best.or(held_back);
         let last_resort = best.is_none();
         let Some(mut found) = best.or(resort) else { return Placement::NoUpstream };
-        if !self.is_worth_it(&found, req)
-            && let Some(idle) = idle
-        {
-            // Whatever the estimate says, a request is tried where slots are free.
-            found = idle;
-        }
         found.why.candidates = candidates;
         found.why.last_resort = last_resort;
         self.admit(&found, req)
     }
 
-    /// Whether the answer may be in time, or at least not far too late.
+    /// Whether the answer may be in time, or at least not far too late. A kind of request is always
+    /// tried where slots are to spare, whatever the estimate says.
     fn is_worth_it(&self, found: &Candidate, req: &Request<'_>) -> bool {
+        if found.why.wait_ms <= 0.0 && found.why.utilization < BUSY_FROM {
+            return true;
+        }
         let bound = req.route.objective.0 as f64 * self.options.refuse_factor;
         let expected = req.age.0 as f64 + found.why.expected_ms;
         expected <= bound && found.why.utility >= 0.0
@@ -218,7 +203,7 @@
 
     fn admit(&self, found: &Candidate, req: &Request<'_>) -> Placement {
         let why = found.why;
-        if !found.is_idle() && !self.is_worth_it(found, req) {
+        if !self.is_worth_it(found, req) {
             let retry_after = Millis(why.wait_ms as u64).max(COME_BACK_LEAST);
             return Placement::Overloaded { retry_after, why };
         }
@@ -228,7 +213,7 @@
     /// How the request's object stands with the upstream at `at`.
     fn cached(&mut self, at: usize, designated: &[Option<usize>; 2], req: &Request<'_>) -> Cached {
         let Some(object) = req.object else {
-            return Cached { warm: 0.0, designated: true };
+            return Cached { warm: 0.0, designated: true, eviction: 0.0 };
         };
         let cache = *self.cache_of(req.service);
         let rank = designated.iter().position(|other| *other == Some(at));
@@ -239,7 +224,10 @@
             (None, Some(_)) => OTHER_WARM,
             (None, None) => 0.0,
         };
-        Cached { warm, designated: rank.is_some() }
+        // An object that is asked for more often than others is worth a place in more caches.
+        let loads = if rank.is_some() { 0.0 } else { 1.0 - warm };
+        let eviction = loads * EVICTION_COST / self.popularity(req.service, object).max(1.0);
+        Cached { warm, designated: rank.is_some(), eviction }
     }
 
     /// What is expected of one upstream.
@@ -267,13 +255,11 @@
         // Loading an object where it belongs is no loss: the next requests need it there.
         let slot_ms = if cached.designated { work.warm_ms * pace } else { work_ms };
         let crossing = if known.region == self.options.region { 0.0 } else { CROSSING_COST };
-        let loads = if cached.designated { 0.0 } else { 1.0 - cached.warm };
-        let eviction = loads * EVICTION_COST;
         let utility = worth * (1.0 - known.errors_at(now))
             - BUSY_COST * busy * slot_ms / work.warm_ms.max(1.0)
             - DELAY_COST * expected_ms / objective
             - crossing
-            - eviction;
+            - cached.eviction;
         let why = Why {
             expected_ms,
             wait_ms,
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -261,3 +261,43 @@
     let busy = fleets[0].entries(&region, &zone, Millis(100)).len();
     assert_eq!((calm, busy), (2, 6));
 }
+
+/// Plays a service half of whose requests are about one object, at a load that its two designated
+/// upstreams can't carry while the others are idle.
+#[test]
+fn an_object_that_everybody_asks_for_gets_more_upstreams() {
+    let ups: Vec<String> = (0..6).map(|n| format!("a1-{n}")).collect();
+    let ups: Vec<(&str, &str)> = ups.iter().map(|id| (id.as_str(), "a1")).collect();
+    let mut host = host(&ups);
+    let fleet = fleet("h1", "a1", Millis(0));
+    let route = route("r");
+    let service = service();
+    let mut busy: Vec<(Millis, UpstreamId, u64, Millis)> = Vec::new();
+    let mut cached: BTreeSet<(UpstreamId, u64)> = BTreeSet::new();
+    let (mut asked, mut refused) = (0, 0);
+    for now in (0..20_000).map(Millis) {
+        busy.retain(|(until, id, object, took)| {
+            if *until > now {
+                return true;
+            }
+            end(&mut host, id, *object, Ended::Answered, *took, now);
+            false
+        });
+        if now.0 % 10 != 0 {
+            continue;
+        }
+        // Every other request is about object 0: 50 a second, each 0.12 s of one of 18 slots.
+        let object = if now.0 % 20 == 0 { 0 } else { 1 + now.0 / 20 % 20 };
+        host.arrived(&service, Some(object), 1, now);
+        let late = now >= Millis(10_000);
+        asked += usize::from(late);
+        match send(&mut host, &fleet, &route, object, now) {
+            Some(up) => {
+                let work = if cached.insert((up.id.clone(), object)) { 360 } else { 120 };
+                busy.push((now + Millis(work), up.id, object, Millis(work)));
+            }
+            None => refused += usize::from(late),
+        }
+    }
+    assert!(refused * 20 < asked, "{refused} of {asked} were refused");
+}
