--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -164,8 +164,7 @@
         let mut steering = cx.steering.lock();
         let service = steering.split(route).cloned();
         if let Some(service) = &service {
-            let object = story.call.object.filter(|_| route.affinity);
-            steering.arrived(service, object, hosts, cx.now());
+            steering.arrived(service, hosts, cx.now());
         }
         service
     };
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -37,7 +37,7 @@
 const DELAY_COST: f64 = 0.05;
 
 /// What it costs to load an object into the cache of an upstream that is not designated for it.
-const EVICTION_COST: f64 = 0.6;
+const EVICTION_COST: f64 = 1.0;
 
 /// What crossing between regions costs, for the bytes on links that all traffic shares.
 const CROSSING_COST: f64 = 0.03;
@@ -224,9 +224,8 @@
             (None, Some(_)) => OTHER_WARM,
             (None, None) => 0.0,
         };
-        // An object that is asked for more often than others is worth a place in more caches.
         let loads = if rank.is_some() { 0.0 } else { 1.0 - warm };
-        let eviction = loads * EVICTION_COST / self.popularity(req.service, object).max(1.0);
+        let eviction = loads * EVICTION_COST;
         Cached { warm, designated: rank.is_some(), eviction }
     }
 
--- a/foxtail-steer/src/estimate.rs
+++ b/foxtail-steer/src/estimate.rs
@@ -1,7 +1,5 @@
 //! How long requests take at upstreams, learned from answers.
 
-use std::collections::HashMap;
-
 use foxtail_types::prelude::*;
 
 /// How much one answer moves an estimate.
@@ -100,39 +98,3 @@
         self.0 = self.0.clamp(least, most);
     }
 }
-
-/// How often each object of a service is asked for.
-#[derive(Debug, Default)]
-pub(crate) struct Popularity {
-    counts: HashMap<u64, f64>,
-    total: f64,
-}
-
-/// Requests after which all counts are halved, so that they follow what callers ask for.
-const POPULARITY_SPAN: f64 = 1_000.0;
-
-/// Counts below this are forgotten.
-const POPULARITY_LEAST: f64 = 0.3;
-
-/// Requests that every object is counted with beforehand, so that the first ones say little.
-const POPULARITY_PRIOR: f64 = 4.0;
-
-impl Popularity {
-    /// Notes a request about `object`.
-    pub(crate) fn note(&mut self, object: u64) {
-        *self.counts.entry(object).or_default() += 1.0;
-        self.total += 1.0;
-        if self.total >= POPULARITY_SPAN {
-            self.counts.values_mut().for_each(|count| *count /= 2.0);
-            self.counts.retain(|_, count| *count >= POPULARITY_LEAST);
-            self.total = self.counts.values().sum();
-        }
-    }
-
-    /// How many times as often as the average object `object` is asked for.
-    pub(crate) fn of(&self, object: u64) -> f64 {
-        let average = self.total / self.counts.len().max(1) as f64;
-        let count = self.counts.get(&object).copied().unwrap_or(0.0);
-        (count + POPULARITY_PRIOR) / (average + POPULARITY_PRIOR)
-    }
-}
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -5,7 +5,7 @@
 
 use foxtail_types::prelude::*;
 
-use crate::estimate::{CacheSize, Popularity, Work};
+use crate::estimate::{CacheSize, Work};
 use crate::shift::Shift;
 use crate::upstream::{Load, Upstream};
 use crate::{Bucket, Config, RetryBudget, Route, Split, retry};
@@ -93,7 +93,6 @@
     pub(crate) by_service: HashMap<ServiceId, Vec<usize>>,
     pub(crate) work: HashMap<ServiceId, Vec<(Millis, Work)>>,
     pub(crate) caches: HashMap<ServiceId, CacheSize>,
-    popularity: HashMap<ServiceId, Popularity>,
     pub(crate) evacuated: BTreeMap<ZoneId, Millis>,
     pub(crate) rtt_ms: HashMap<ZoneId, f64>,
     pub(crate) shift: Shift,
@@ -188,7 +187,6 @@
             by_service: HashMap::new(),
             work: HashMap::new(),
             caches: HashMap::new(),
-            popularity: HashMap::new(),
             evacuated: BTreeMap::new(),
             rtt_ms: HashMap::new(),
             shift,
@@ -280,14 +278,8 @@
         self.split.next(route)
     }
 
-    /// Notes a caller's request for `service` about `object`; the retry budget is a share of them.
-    pub fn arrived(&mut self, service: &ServiceId, object: Option<u64>, hosts: usize, now: Millis) {
-        if let Some(object) = object {
-            if !self.popularity.contains_key(service) {
-                self.popularity.insert(service.clone(), Popularity::default());
-            }
-            self.popularity.get_mut(service).expect("inserted above").note(object);
-        }
+    /// Notes a caller's request for `service`, of which the retry budget is a share.
+    pub fn arrived(&mut self, service: &ServiceId, hosts: usize, now: Millis) {
         self.retries.request(service, hosts, now);
     }
 
@@ -411,11 +403,6 @@
         self.shift.capacity(slots, &self.options.region, now);
     }
 
-    /// How many times as often as the average object of `service` `object` is asked for.
-    pub(crate) fn popularity(&self, service: &ServiceId, object: u64) -> f64 {
-        self.popularity.get(service).map_or(1.0, |popularity| popularity.of(object))
-    }
-
     pub(crate) fn cache_of(&mut self, service: &ServiceId) -> &mut CacheSize {
         if !self.caches.contains_key(service) {
             self.caches.insert(service.clone(), CacheSize::default());
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -286,9 +286,9 @@
         if now.0 % 10 != 0 {
             continue;
         }
-        // Every other request is about object 0: 50 a second, each 0.12 s of one of 18 slots.
-        let object = if now.0 % 20 == 0 { 0 } else { 1 + now.0 / 20 % 20 };
-        host.arrived(&service, Some(object), 1, now);
+        // Four of five requests are about object 0: 80 a second, each 0.12 s of one of 18 slots.
+        let object = if now.0 % 50 != 0 { 0 } else { 1 + now.0 / 50 % 20 };
+        host.arrived(&service, 1, now);
         let late = now >= Millis(10_000);
         asked += usize::from(late);
         match send(&mut host, &fleet, &route, object, now) {
