--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -203,9 +203,9 @@
         };
         let (up, why) = match placement {
             Placement::Send { up, why } => (up, why),
-            Placement::Overloaded { retry_after, why } => {
+            Placement::Overloaded { retry_after, best, why } => {
                 let refusal = tries.give_up(Reason::Overloaded, retry_after);
-                story.refused(cx, &route.name, &refusal, Some(&why));
+                story.refused(cx, service.as_str(), &refusal, Some((&best, &why)));
                 return Err(refusal);
             }
             Placement::NoUpstream => break tries.give_up(Reason::NoUpstream, NO_UPSTREAM_AFTER),
@@ -312,7 +312,14 @@
         );
     }
 
-    fn refused(&self, cx: &Cx, service: &str, refusal: &Refusal, why: Option<&Why>) {
+    fn refused(
+        &self,
+        cx: &Cx,
+        service: &str,
+        refusal: &Refusal,
+        best: Option<(&UpstreamId, &Why)>,
+    ) {
+        let why = best.map(|(_, why)| why);
         let took = cx.now().since(self.arrived);
         cx.metrics.request(service, refusal.reason.as_str(), took);
         tracing::info!(
@@ -324,10 +331,12 @@
             offers = self.offers,
             took_ms = took.0,
             retry_after_ms = refusal.retry_after.map(|after| after.0),
+            upstream = best.map(|(id, _)| tracing::field::display(id)),
+            load = why.map(|why| tracing::field::display(format!("{:.1}", why.load))),
             expected_ms = why.map(|why| why.expected_ms as u64),
             wait_ms = why.map(|why| why.wait_ms as u64),
             report_age_ms = why.and_then(|why| why.report_age).map(|age| age.0),
-            utility = why.map(|why| why.utility),
+            utility = why.map(|why| tracing::field::display(format!("{:.2}", why.utility))),
             version = %self.version,
         );
     }
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -96,7 +96,9 @@
     Overloaded {
         /// When to come back.
         retry_after: Millis,
-        /// What was expected of the best upstream.
+        /// The upstream that would have been best.
+        best: UpstreamId,
+        /// What was expected of it.
         why: Why,
     },
     /// Nowhere: no upstream may take it.
@@ -205,7 +207,8 @@
         let why = found.why;
         if !self.is_worth_it(found, req) {
             let retry_after = Millis(why.wait_ms as u64).max(COME_BACK_LEAST);
-            return Placement::Overloaded { retry_after, why };
+            let best = self.table[found.at].up.id.clone();
+            return Placement::Overloaded { retry_after, best, why };
         }
         Placement::Send { up: self.table[found.at].up.clone(), why }
     }
--- a/foxtailctl/src/story.rs
+++ b/foxtailctl/src/story.rs
@@ -136,6 +136,22 @@
             "attempt" => {
                 format!("{} {} after {} ms", field("upstream"), field("outcome"), field("took_ms"))
             }
+            "request" if self.fields.contains_key("upstream") => format!(
+                "refused: {} with status {}, to come back after {} ms; the best of {} was {}, expected \
+                 in {} ms, of which {} ms wait; load {}, reported {} ms ago; utility {}; \
+                 configuration {}",
+                field("outcome"),
+                field("status"),
+                field("retry_after_ms"),
+                field("service"),
+                field("upstream"),
+                field("expected_ms"),
+                field("wait_ms"),
+                field("load"),
+                field("report_age_ms"),
+                field("utility"),
+                field("version"),
+            ),
             "request" => format!(
                 "ended: {} with status {} after {} ms and {} offers; configuration {}",
                 field("outcome"),
