--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -62,7 +62,8 @@
         age: Millis::ZERO,
         tried: &[],
     };
-    let Placement::Overloaded { retry_after, why } = host.place(&request, &fleet, Millis(0)) else {
+    let Placement::Overloaded { retry_after, why, .. } = host.place(&request, &fleet, Millis(0))
+    else {
         panic!("not refused");
     };
     assert!(why.wait_ms > 0.0 && retry_after >= Millis(50) && retry_after < Millis(5_000));
