--- a/foxtail-entry/src/cx.rs
+++ b/foxtail-entry/src/cx.rs
@@ -15,7 +15,7 @@
 use crate::metrics::Metrics;
 use crate::node::Ports;
 use crate::pool::Pool;
-use crate::ports::{Area, Dialect, Store};
+use crate::ports::{Dialect, Store};
 use crate::settings::Settings;
 
 /// What all parts of a host share.
@@ -30,8 +30,6 @@
     pub(crate) knowledge: Mutex<Knowledge>,
     /// There is news to tell other hosts.
     pub(crate) news: Notify,
-    /// Areas of which another host is being asked.
-    pulling: Mutex<Vec<Area>>,
     /// Tasks that answer or ask other hosts.
     pub(crate) tasks: TaskTracker,
     pub(crate) pool: Pool,
@@ -67,7 +65,6 @@
             store,
             knowledge: Mutex::default(),
             news: Notify::new(),
-            pulling: Mutex::default(),
             tasks: TaskTracker::new(),
             pool: Pool::new(Arc::clone(&dial)),
             dial,
@@ -78,17 +75,6 @@
         }
     }
 
-    /// Notes whether another host is being asked about `area`; tells whether it was not before.
-    pub(crate) fn pulling(&self, area: Area, on: bool) -> bool {
-        let mut pulling = self.pulling.lock();
-        let before = pulling.contains(&area);
-        pulling.retain(|other| *other != area);
-        if on {
-            pulling.push(area);
-        }
-        !before
-    }
-
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
     }
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -50,9 +50,14 @@
     cx.metrics.digest();
     let told = digest.versions;
     for (area, version) in [(Area::Operators, told.operators), (Area::Upstreams, told.upstreams)] {
-        if version > cx.version(area) && cx.pulling(area, true) {
-            let dial = Arc::clone(&cx.dial);
-            cx.tasks.spawn(share::pull(Arc::clone(cx), dial, area, digest.from.peer));
+        let next = {
+            let mut knowledge = cx.knowledge.lock();
+            knowledge
+                .pulls(area)
+                .and_then(|(pulls, known)| pulls.told(digest.from.peer, version, known))
+        };
+        if let Some(addr) = next {
+            cx.tasks.spawn(share::pull(Arc::clone(cx), area, addr));
         }
     }
     let now = cx.now();
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use foxtail_steer::Pulls;
 use foxtail_steer::fleet::Versions;
 use foxtail_types::prelude::*;
 
@@ -18,6 +19,8 @@
 pub(crate) struct Knowledge {
     operators: Ledger,
     upstreams: Ledger,
+    operators_told: Pulls,
+    upstreams_told: Pulls,
     /// Upstreams whose registration may have lapsed, and when they are taken for gone.
     lapsed: BTreeMap<UpstreamId, Millis>,
 }
@@ -32,6 +35,15 @@
         }
     }
 
+    /// What other hosts told of `area`, and the version that this one knows.
+    pub(crate) fn pulls(&mut self, area: Area) -> Option<(&mut Pulls, u64)> {
+        match area {
+            Area::Operators => Some((&mut self.operators_told, self.operators.version())),
+            Area::Upstreams => Some((&mut self.upstreams_told, self.upstreams.version())),
+            Area::Hosts => None,
+        }
+    }
+
     fn versions(&self) -> Versions {
         Versions { operators: self.operators.version(), upstreams: self.upstreams.version() }
     }
--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -15,8 +15,8 @@
 use crate::cx::Cx;
 use crate::ports::{Area, Facts};
 
-/// The longest that one host is asked for.
-const TIMEOUT: Millis = Millis(1_000);
+/// The longest that one host is asked: several round trips between regions.
+const TIMEOUT: Millis = Millis(500);
 
 /// After a failed accept the listener rests this long.
 const ACCEPT_REST: Millis = Millis(50);
@@ -75,18 +75,29 @@
     ended.run_until_cancelled(answering).await;
 }
 
-/// Asks the host at `addr` for what it knows of `area` that this host does not.
-pub(crate) async fn pull(cx: Arc<Cx>, dial: Arc<dyn Dial>, area: Area, addr: SocketAddr) {
-    let version = cx.version(area);
-    let asking = tokio::time::timeout(TIMEOUT.duration(), ask(dial, area, version, addr));
-    let answer = asking.await.unwrap_or(Err(Error::TimedOut));
-    cx.pulling(area, false);
-    match answer {
-        Ok(facts) if facts.version > version => {
-            cx.learn(area, facts, false, &addr.to_string());
+/// Asks the host at `addr` for what it knows of `area` that this host does not, and then others that
+/// told of more.
+pub(crate) async fn pull(cx: Arc<Cx>, area: Area, mut addr: SocketAddr) {
+    loop {
+        let version = cx.version(area);
+        let asking = ask(Arc::clone(&cx.dial), area, version, addr);
+        let asking = tokio::time::timeout(TIMEOUT.duration(), asking);
+        let answer = asking.await.unwrap_or(Err(Error::TimedOut));
+        match answer {
+            Ok(facts) if facts.version > version => {
+                cx.learn(area, facts, false, &addr.to_string());
+            }
+            Ok(_) => {}
+            Err(e) => tracing::info!(event = "host_not_asked", ?area, %addr, error = %e),
+        }
+        let next = {
+            let mut knowledge = cx.knowledge.lock();
+            knowledge.pulls(area).and_then(|(pulls, known)| pulls.ended(known))
+        };
+        match next {
+            Some(next) => addr = next,
+            None => return,
         }
-        Ok(_) => {}
-        Err(e) => tracing::info!(event = "host_not_asked", ?area, %addr, error = %e),
     }
 }
 
