--- a/foxtail-net/src/dial.rs
+++ b/foxtail-net/src/dial.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use foxtail_time::Millis;
@@ -47,6 +48,7 @@
     /// The longest that sent bytes may stay unacknowledged.
     pub unacknowledged: Millis,
     /// How long a connection may be quiet before its peer is probed, and the pause between probes.
+    /// The operating system takes whole seconds, so that it is rounded up.
     /// A peer that answers two probes in a row with silence is taken for gone.
     pub probe: Millis,
 }
@@ -64,7 +66,7 @@
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(self.unacknowledged.duration()))?;
-        let probe = self.probe.duration();
+        let probe = Duration::from_secs(self.probe.0.div_ceil(1_000).max(1));
         let keepalive = TcpKeepalive::new().with_time(probe).with_interval(probe);
         socket.set_tcp_keepalive(&keepalive.with_retries(PROBES))?;
         Ok(Box::new(stream))
--- /dev/null
+++ b/foxtail-net/tests/dial.rs
@@ -0,0 +1,30 @@
+//! Watched connections.
+
+use foxtail_net::{Dial, WatchedDial};
+use foxtail_time::Millis;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+#[tokio::test]
+async fn connections_are_made_with_spans_of_any_length() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    for probe in [0, 1, 500, 1_000, 1_500] {
+        let dial =
+            WatchedDial { connect: Millis(400), unacknowledged: Millis(700), probe: Millis(probe) };
+        let (dialed, accepted) = tokio::join!(dial.dial(addr), listener.accept());
+        let mut stream = dialed.unwrap_or_else(|e| panic!("probes each {probe} ms: {e}"));
+        stream.write_all(b"x").await.unwrap();
+        assert_eq!(accepted.unwrap().0.read_u8().await.unwrap(), b'x');
+    }
+}
+
+#[tokio::test]
+async fn a_port_without_listener_is_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let dial =
+        WatchedDial { connect: Millis(400), unacknowledged: Millis(700), probe: Millis(1_000) };
+    assert!(dial.dial(addr).await.is_err());
+}
--- a/foxtailrouter/src/entry.rs
+++ b/foxtailrouter/src/entry.rs
@@ -15,7 +15,7 @@
 /// Upstreams and the store answer a connection within a round trip between regions; one that takes
 /// several is not there.
 const WATCH: WatchedDial =
-    WatchedDial { connect: Millis(400), unacknowledged: Millis(700), probe: Millis(500) };
+    WatchedDial { connect: Millis(400), unacknowledged: Millis(700), probe: Millis(1_000) };
 
 /// How often the settings file is looked at for changes that come without a signal.
 const LOOK_EVERY: Millis = Millis::secs(5);
