test(foxtailrouter): a randomized soak of entry hosts as processes, with faults from outside

Hosts are killed, paused, stopped and restarted by signals; a proxy delays, silences and resets their connections to upstreams; their doors to the store fail; upstreams misbehave, drain and vanish; the configuration changes. Callers keep using open connections.

--- a/foxtail-standin/src/service.rs
+++ b/foxtail-standin/src/service.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -49,6 +49,8 @@
     pub body: Vec<u8>,
     /// Whether it was run.
     pub run: bool,
+    /// When it arrived.
+    pub at: Option<Instant>,
 }
 
 /// A running upstream.
@@ -144,10 +146,22 @@
 
     /// The registration that it would write, with `state` and the seconds that it stays cold.
     pub fn registration(&self, service: &str, zone: &str, state: &str, cold_s: f64) -> Vec<u8> {
+        self.registration_at(self.addr, service, zone, state, cold_s)
+    }
+
+    /// The same, for an upstream that is reached at `addr`.
+    pub fn registration_at(
+        &self,
+        addr: SocketAddr,
+        service: &str,
+        zone: &str,
+        state: &str,
+        cold_s: f64,
+    ) -> Vec<u8> {
         let Shared { slots, .. } = *self.shared;
         format!(
             r#"{{"address":"{}","info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":{slots}}},"status":{{"state":"{state}","sequence":1,"cold_remaining_s":{cold_s}}}}}"#,
-            self.addr
+            addr
         )
         .into_bytes()
     }
@@ -288,7 +302,7 @@
     }
     let body = buf[head_len..head_len + body_len].to_vec();
     buf.drain(..head_len + body_len);
-    Ok(Some(Seen { line, headers, body, run: false }))
+    Ok(Some(Seen { line, headers, body, run: false, at: Some(Instant::now()) }))
 }
 
 async fn send(
--- /dev/null
+++ b/foxtailrouter/tests/soak/host.rs
@@ -0,0 +1,83 @@
+//! An entry host as a process, with addresses that it keeps over restarts.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+
+/// The time for a stop in the hosts' settings, in seconds.
+pub(crate) const STOP_S: f64 = 3.0;
+
+pub(crate) struct Host {
+    pub(crate) caller: SocketAddr,
+    pub(crate) lookup: SocketAddr,
+    pub(crate) health: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Host {
+    pub(crate) fn new(dir: &Path, name: &str, zone: &str, store: SocketAddr) -> Self {
+        let ports: Vec<TcpListener> =
+            (0..4).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let addr = |n: usize| ports[n].local_addr().expect("bound");
+        let settings = json!({
+            "host": name, "region": &zone[..1], "zone": zone,
+            "zones": {"a1": "a", "a2": "a", "b1": "b"},
+            "caller": addr(0), "lookup": addr(1), "health": addr(2), "peer": addr(3),
+            "metrics": null, "store": store, "stop_s": STOP_S, "lookup_ttl_s": 0.5,
+            "retry": {"ratio": 0.2, "slack": 100.0, "window_s": 10.0}, "shift_cap": 0.15,
+        });
+        let path = dir.join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("settings written");
+        let log = dir.join(format!("{name}.log"));
+        let (caller, lookup, health) = (addr(0), addr(1), addr(2));
+        Self { caller, lookup, health, settings: path, log, child: None }
+    }
+
+    pub(crate) fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_foxtailrouter"))
+            .arg("entry")
+            .arg("--config")
+            .arg(&self.settings)
+            .stdout(Stdio::from(log))
+            .spawn();
+        self.child = Some(child.expect("a host process"));
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        let pid = Pid::from_raw(child.id().cast_signed()).expect("a process id");
+        // The process may have ended by itself; then its end is found when it is waited for.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Whether the process has ended, and with which code.
+    pub(crate) fn ended(&mut self) -> Option<Option<i32>> {
+        let status = self.child.as_mut()?.try_wait().expect("a status")?;
+        self.child = None;
+        Some(status.code())
+    }
+
+    pub(crate) fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        if let Some(mut child) = self.child.take() {
+            child.wait().expect("a status");
+        }
+    }
+
+    pub(crate) fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/foxtailrouter/tests/soak/main.rs
@@ -0,0 +1,61 @@
+//! A randomized soak: entry hosts as processes under load, with faults from outside of them.
+//!
+//! Seeds come from `FOXTAIL_SOAK_SEEDS` (for example `1..50` or `7`), else a few fixed ones; each runs
+//! for `FOXTAIL_SOAK_SECONDS`. A seed that ever failed stays in [`REGRESSIONS`] with its cause.
+
+#![allow(clippy::print_stdout, reason = "a soak reports what it finds")]
+
+mod caller;
+mod check;
+mod faults;
+mod host;
+mod proxy;
+mod world;
+
+use std::ops::Range;
+use std::time::Duration;
+
+use crate::world::World;
+
+/// Seeds that failed once, with the cause that was found.
+const REGRESSIONS: [u64; 0] = [];
+
+/// Seeds of a run without settings.
+const SHORT_SEEDS: Range<u64> = 1..3;
+
+/// How long faults are injected in a run without settings, in seconds.
+const SHORT_SECONDS: u64 = 8;
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("FOXTAIL_SOAK_SEEDS") else {
+        return REGRESSIONS.into_iter().chain(SHORT_SEEDS).collect();
+    };
+    let number = |text: &str| text.parse::<u64>().expect("FOXTAIL_SOAK_SEEDS is N or N..M");
+    match text.split_once("..") {
+        Some((from, to)) => (number(from)..number(to)).collect(),
+        None => vec![number(&text)],
+    }
+}
+
+fn seconds() -> u64 {
+    let text = std::env::var("FOXTAIL_SOAK_SECONDS");
+    text.map_or(SHORT_SECONDS, |text| text.parse().expect("FOXTAIL_SOAK_SECONDS is a number"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_faults() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let mut world = World::start(seed).await;
+        faults::inject(&mut world, seed, Duration::from_secs(seconds())).await;
+        let breaches = check::finish(world).await;
+        println!("seed {seed}: {} breaches", breaches.len());
+        for breach in &breaches {
+            println!("seed {seed}: {breach}");
+        }
+        if !breaches.is_empty() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} broke a promise");
+}
