fix(steer): objects of a route with homes belong to upstreams of its homes

Cause: read through; designated upstreams were chosen among all regions, so that a route that only region b may serve had its objects at upstreams it may not use, and its last slots were refused. The test fails without the fix.

--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -157,10 +157,7 @@
         let all = all.clone();
         let designated = self.designated(&all, req, now);
         self.survey(now);
-        let regions: Vec<RegionId> = self.options.zones.values().cloned().collect();
-        let mut capped = regions;
-        capped.sort();
-        capped.dedup();
+        let mut capped = self.regions.clone();
         capped.retain(|region| !self.shift.allows(region, now));
         let mut best: Option<Candidate> = None;
         let mut held_back: Option<Candidate> = None;
@@ -276,12 +273,17 @@
         Candidate { at, why }
     }
 
+    /// Whether the request may go to the upstream at `at`.
     fn allowed(&self, at: usize, req: &Request<'_>) -> bool {
+        self.is_home(at, req.route) && !req.tried.contains(&self.table[at].up.id)
+    }
+
+    /// Whether the upstream at `at` is in use and in a region that may serve `route`.
+    fn is_home(&self, at: usize, route: &Route) -> bool {
         let known = &self.table[at];
-        let homes = &req.route.homes;
-        self.in_use(at)
-            && (homes.is_empty() || homes.contains(&known.region))
-            && !req.tried.contains(&known.up.id)
+        let in_use =
+            !known.gone && !known.up.draining && !self.evacuated.contains_key(&known.up.zone);
+        in_use && (route.homes.is_empty() || route.homes.contains(&known.region))
     }
 
     /// Whether this host may send to an upstream now as far as warming up goes: a cold one has a
@@ -300,10 +302,10 @@
     /// the second one in this region. Upstreams that fail or are slow stand back for the next ones.
     fn designated(&self, all: &[usize], req: &Request<'_>, now: Millis) -> [Option<usize>; 2] {
         let Some(object) = req.object else { return [None; 2] };
-        let well = |at: &usize| self.in_use(*at) && self.table[*at].is_well(now);
-        let in_use = || all.iter().copied().filter(well);
+        let well = |at: &usize| self.is_home(*at, req.route) && self.table[*at].is_well(now);
+        let fit = || all.iter().copied().filter(well);
         let mut slots: Vec<(&RegionId, f64)> = Vec::new();
-        for at in in_use() {
+        for at in fit() {
             let known = &self.table[at];
             let more = f64::from(known.up.slots);
             match slots.iter_mut().find(|(region, _)| **region == known.region) {
@@ -313,7 +315,7 @@
         }
         let mut near: [Option<(u64, usize)>; 2] = [None; 2];
         let mut far: Option<(f64, usize)> = None;
-        for at in in_use() {
+        for at in fit() {
             let known = &self.table[at];
             let weight = rendezvous::weight(object, known.up.id.as_str());
             let weighed = Some((weight, at));
@@ -334,12 +336,6 @@
         let second = far.map(|(_, at)| at).or(near[1].map(|(_, at)| at));
         [first, second]
     }
-
-    /// Whether an upstream is registered and may have new work.
-    fn in_use(&self, at: usize) -> bool {
-        let known = &self.table[at];
-        !known.gone && !known.up.draining && !self.evacuated.contains_key(&known.up.zone)
-    }
 }
 
 /// The chance that something which scatters around zero by one is less than `margin`.
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -87,6 +87,8 @@
 #[derive(Debug)]
 pub struct Steering {
     pub(crate) options: Options,
+    /// All regions, each once.
+    pub(crate) regions: Vec<RegionId>,
     pub(crate) cfg: Option<Arc<Config>>,
     pub(crate) table: Vec<Known>,
     pub(crate) ids: HashMap<UpstreamId, usize>,
@@ -179,8 +181,10 @@
     pub fn new(options: Options) -> Self {
         let retries = RetryBudget::new(options.retry);
         let shift = Shift::new(options.shift_cap);
+        let regions = regions(&options);
         Self {
             options,
+            regions,
             cfg: None,
             table: Vec::new(),
             ids: HashMap::new(),
@@ -199,6 +203,7 @@
     /// Decides by `options` from now on.
     pub fn set_options(&mut self, options: Options) {
         self.shift.set_cap(options.shift_cap);
+        self.regions = regions(&options);
         self.options = options;
     }
 
@@ -622,6 +627,11 @@
     }
 }
 
+fn regions(options: &Options) -> Vec<RegionId> {
+    let regions: std::collections::BTreeSet<&RegionId> = options.zones.values().collect();
+    regions.into_iter().cloned().collect()
+}
+
 fn fade(age_ms: f64, over_ms: f64) -> f64 {
     (-age_ms / over_ms).exp()
 }
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -81,6 +81,11 @@
     }
 }
 
+/// A host whose own region has more upstreams than the home `b` of the routes.
+fn host_with_homes() -> Steering {
+    host(&[("a1-0", "a1"), ("a1-1", "a1"), ("c1-0", "c1"), ("c1-1", "c1"), ("b1-0", "b1")])
+}
+
 #[test]
 fn homes_bind() {
     let mut host = host(&[("a1-0", "a1"), ("b1-0", "b1")]);
@@ -91,6 +96,12 @@
         let up = send(&mut host, &fleet, &route, object, Millis(0));
         assert!(up.is_none_or(|up| up.id.as_str() == "b1-0"));
     }
+    // Objects belong to upstreams of the home, so that all of its slots are used for them.
+    let mut wide = host_with_homes();
+    for object in 0..3 {
+        let up = send(&mut wide, &fleet, &route, object, Millis(0));
+        assert_eq!(up.expect("the home has a slot").id.as_str(), "b1-0");
+    }
     route.homes = vec!["c".parse().unwrap()];
     assert!(send(&mut host, &fleet, &route, 1, Millis(0)).is_none());
 }
