fix(entry): news from another region are told to the whole region at once

The store turned half of all hosts away in silence, both readers of a region among them; the region heard of the change from another one by digests only, which take about 3 s to reach 45 hosts.

--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -86,6 +86,9 @@
         match answer {
             Ok(facts) if facts.version > version => {
                 cx.learn(area, facts, false, &addr.to_string());
+                if cx.fleet.lock().tells_on(addr) {
+                    cx.news.notify_one();
+                }
             }
             Ok(_) => {}
             Err(e) => tracing::info!(event = "host_not_asked", ?area, %addr, error = %e),
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -289,6 +289,14 @@
         (addrs(near), addrs(far))
     }
 
+    /// Whether news of the store that the host at `from` told are to be told to this region at once:
+    /// a host of another region told only this one, and the region's own readers may not know them.
+    pub fn tells_on(&self, from: SocketAddr) -> bool {
+        let region = &self.me().region;
+        let near = |peer: &Peer| peer.record.peer == from && peer.record.region == *region;
+        !self.peers.values().any(near)
+    }
+
     /// How many hosts are known, dead or alive.
     pub fn registered(&self) -> usize {
         self.peers.len()
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use common::{config, end, fleet, meet, options, record, route, send, service, upstream};
 use foxtail_steer::fleet::{Fleet, Phase};
@@ -313,3 +314,36 @@
     }
     assert!(refused * 20 < asked, "{refused} of {asked} were refused");
 }
+
+/// Plays a region all of whose readers are turned away by the store without noticing, while another
+/// region knows of a change.
+#[test]
+fn news_from_another_region_reach_a_whole_region_at_once() {
+    let named: Vec<String> = (0..45).map(|n| format!("h{n}")).collect();
+    let addr = |n: usize| SocketAddr::from(([10, 0, 0, n as u8], 1));
+    let mut fleets: Vec<Fleet> = named
+        .iter()
+        .enumerate()
+        .map(|(n, name)| {
+            let mut record = record(name, if n == 0 { "b1" } else { "a1" });
+            record.peer = addr(n);
+            Fleet::new(record, Millis(0), Millis::secs(1_000))
+        })
+        .collect();
+    meet(&mut fleets, Millis(0));
+    // Host 0 of region b told host 1 of region a, and host 1 tells those that it should.
+    let mut told = BTreeSet::from([1]);
+    let mut asked_by = vec![(1, addr(0))];
+    while let Some((host, from)) = asked_by.pop() {
+        if fleets[host].tells_on(from) {
+            let near = fleets[host].targets().0;
+            for other in (1..45).filter(|other| near.contains(&addr(*other))) {
+                if told.insert(other) {
+                    asked_by.push((other, addr(host)));
+                }
+            }
+        }
+    }
+    assert_eq!(told.len(), 44);
+    assert!(!fleets[2].tells_on(addr(1)), "what one host of a region told, all were told");
+}
