--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -65,6 +65,9 @@
 /// The round trip to another region before any connection was made there, in milliseconds.
 const FAR_MS: f64 = 70.0;
 
+/// How much one connection that took longer than the known round trip raises it.
+const RTT_RISES: f64 = 0.01;
+
 /// Who this host is and how it decides.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -224,11 +227,8 @@
 
     /// Takes in a registration, new or changed.
     pub fn set_upstream(&mut self, up: Upstream, now: Millis) {
-        let Some(region) = self.options.zones.get(&up.zone).cloned() else {
-            // A zone of a later configuration: it counts as a region of its own, far away.
-            let region = self.options.region.clone();
-            return self.put(up, region, now);
-        };
+        // The settings name all zones; an upstream in another one is taken for near.
+        let region = self.options.zones.get(&up.zone).unwrap_or(&self.options.region).clone();
         self.put(up, region, now);
     }
 
@@ -240,20 +240,6 @@
         }
     }
 
-    /// Takes in all registrations as they stand; the upstreams that are not among them are gone.
-    pub fn set_upstreams(&mut self, all: Vec<Upstream>, now: Millis) {
-        let named: std::collections::HashSet<UpstreamId> =
-            all.iter().map(|up| up.id.clone()).collect();
-        let missing: Vec<UpstreamId> =
-            self.ids.keys().filter(|id| !named.contains(*id)).cloned().collect();
-        for id in &missing {
-            self.remove_upstream(id);
-        }
-        for up in all {
-            self.set_upstream(up, now);
-        }
-    }
-
     /// Sends nothing more to the upstreams of `zone`.
     pub fn evacuate(&mut self, zone: ZoneId, now: Millis) {
         self.evacuated.entry(zone).or_insert(now);
@@ -358,7 +344,7 @@
         let known = self.rtt_ms.entry(zone.clone()).or_insert(took_ms);
         // The least is the way; more is the upstream's or a link's queue. It rises slowly, so that a
         // longer way is learned in time.
-        *known = if took_ms < *known { took_ms } else { *known + 0.01 * (took_ms - *known) };
+        *known = if took_ms < *known { took_ms } else { *known + RTT_RISES * (took_ms - *known) };
     }
 
     /// The registration of `id`.
@@ -366,11 +352,6 @@
         self.ids.get(id).map(|&at| &self.table[at].up)
     }
 
-    /// All registrations.
-    pub fn registered(&self) -> Vec<Upstream> {
-        self.table.iter().filter(|known| !known.gone).map(|known| known.up.clone()).collect()
-    }
-
     /// How many upstreams are registered.
     pub fn upstreams(&self) -> usize {
         self.table.iter().filter(|known| !known.gone).count()
