--- /dev/null
+++ b/foxtail-entry/tests/log.rs
@@ -0,0 +1,74 @@
+//! The log's buffer: bounded, and never in the way.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxtail_entry::log::lines;
+use parking_lot::{Condvar, Mutex};
+
+/// An output that takes nothing until it is opened.
+#[derive(Clone, Default)]
+struct Gate(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+
+impl Gate {
+    fn open(&self) {
+        self.0.0.lock().0 = true;
+        self.0.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.0.0.lock().1.clone()).unwrap()
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        let mut state = self.0.0.lock();
+        while !state.0 {
+            self.0.1.wait(&mut state);
+        }
+        state.1.extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_stops_reading_holds_up_nobody_and_what_is_left_out_is_counted() {
+    let gate = Gate::default();
+    let (mut log, guard) = lines(gate.clone());
+    let line = [b'x'; 1_000];
+    let since = Instant::now();
+    for _ in 0..10_000 {
+        log.write_all(&line).unwrap();
+    }
+    // Ten megabytes into memory alone take a few milliseconds.
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    gate.open();
+    drop(guard);
+    let text = gate.text();
+    let count: u64 = text
+        .lines()
+        .filter_map(|line| line.split_once("log_lines_dropped count="))
+        .map(|(_, count)| count.parse::<u64>().unwrap())
+        .sum();
+    let written = text.matches('x').count() as u64 / 1_000;
+    assert_eq!(written + count, 10_000);
+    assert!(written <= 200, "{written} lines were held");
+}
+
+#[test]
+fn all_lines_are_written_when_the_log_ends() {
+    let gate = Gate::default();
+    gate.open();
+    let (mut log, guard) = lines(gate.clone());
+    for n in 0..20 {
+        writeln!(log, "event=n n={n}").unwrap();
+    }
+    drop(guard);
+    assert_eq!(gate.text().lines().count(), 20);
+}
