--- a/foxtail-entry/tests/log.rs
+++ b/foxtail-entry/tests/log.rs
@@ -9,26 +9,38 @@
 
 /// An output that takes nothing until it is opened.
 #[derive(Clone, Default)]
-struct Gate(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+struct Gate(Arc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    opened: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    open: bool,
+    taken: Vec<u8>,
+}
 
 impl Gate {
     fn open(&self) {
-        self.0.0.lock().0 = true;
-        self.0.1.notify_all();
+        self.0.state.lock().open = true;
+        self.0.opened.notify_all();
     }
 
     fn text(&self) -> String {
-        String::from_utf8(self.0.0.lock().1.clone()).unwrap()
+        String::from_utf8(self.0.state.lock().taken.clone()).unwrap()
     }
 }
 
 impl Write for Gate {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
-        let mut state = self.0.0.lock();
-        while !state.0 {
-            self.0.1.wait(&mut state);
+        let mut state = self.0.state.lock();
+        while !state.open {
+            self.0.opened.wait(&mut state);
         }
-        state.1.extend_from_slice(buf);
+        state.taken.extend_from_slice(buf);
         Ok(buf.len())
     }
 
