fix(steer): the retry budget follows the settings and the hosts that are known

A reload left the old ratio and slack in force until the restart, and a host kept the share of the slack that it had when its first request came, however many hosts it learned of later.

Also: one notion of an upstream in use, senders of cold upstreams looked up once for each placement, and work of objectives that no route has any more is forgotten.

--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -129,7 +129,7 @@
                 tracing::info!(event = "evacuation", %zone, on, version);
                 let mut steering = self.steering.lock();
                 if on {
-                    steering.evacuate(zone, now);
+                    steering.evacuate(zone);
                 } else {
                     steering.end_evacuation(&zone, now);
                 }
--- a/foxtail-steer/src/bucket.rs
+++ b/foxtail-steer/src/bucket.rs
@@ -38,6 +38,14 @@
         self.tokens = (self.tokens + tokens).min(self.burst);
     }
 
+    /// Lets tokens accrue at `rate` up to `burst` from `now` on.
+    pub fn reshape(&mut self, rate: f64, burst: f64, now: Millis) {
+        self.tokens = self.tokens_at(now).min(burst);
+        self.at = now;
+        self.rate = rate;
+        self.burst = burst;
+    }
+
     fn tokens_at(&self, now: Millis) -> f64 {
         (self.tokens + self.rate * now.since(self.at).as_secs_f64()).min(self.burst)
     }
--- a/foxtail-steer/src/choose.rs
+++ b/foxtail-steer/src/choose.rs
@@ -15,6 +15,7 @@
 use foxtail_types::prelude::*;
 
 use crate::estimate::Work;
+use crate::fleet::Senders;
 use crate::rendezvous;
 use crate::steering::Steering;
 use crate::upstream::Upstream;
@@ -159,12 +160,13 @@
         self.survey(now);
         let mut capped = self.regions.clone();
         capped.retain(|region| !self.shift.allows(region, now));
+        let mut senders = fleet.senders(now);
         let mut best: Option<Candidate> = None;
         let mut held_back: Option<Candidate> = None;
         let mut resort: Option<Candidate> = None;
         let mut candidates = 0;
         for at in all {
-            if !self.allowed(at, req) || !self.may_warm(at, fleet, now) {
+            if !self.allowed(at, req) || !self.may_warm(at, &mut senders, now) {
                 continue;
             }
             let cached = self.cached(at, &designated, req);
@@ -281,19 +283,17 @@
     /// Whether the upstream at `at` is in use and in a region that may serve `route`.
     fn is_home(&self, at: usize, route: &Route) -> bool {
         let known = &self.table[at];
-        let in_use =
-            !known.gone && !known.up.draining && !self.evacuated.contains_key(&known.up.zone);
-        in_use && (route.homes.is_empty() || route.homes.contains(&known.region))
+        self.in_use(known) && (route.homes.is_empty() || route.homes.contains(&known.region))
     }
 
     /// Whether this host may send to an upstream now as far as warming up goes: a cold one has a
     /// single sender, which keeps to its rate.
-    fn may_warm(&mut self, at: usize, fleet: &Fleet, now: Millis) -> bool {
+    fn may_warm(&mut self, at: usize, senders: &mut Senders<'_>, now: Millis) -> bool {
         if self.table[at].cold_until <= now {
             return true;
         }
         let known = &self.table[at];
-        let sender = fleet.sender(&known.region, known.up.id.as_str(), now);
+        let sender = senders.of(&known.region, known.up.id.as_str());
         sender == Some(&self.options.host) && self.table[at].cold.ready(now)
     }
 
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -126,6 +126,14 @@
     digests: u64,
 }
 
+/// Which hosts send to cold upstreams; looks up the hosts of each region once.
+#[derive(Debug)]
+pub struct Senders<'f> {
+    fleet: &'f Fleet,
+    now: Millis,
+    by_region: BTreeMap<RegionId, Vec<&'f HostId>>,
+}
+
 impl Fleet {
     /// A fleet of which only `me` is known, at local time `now` and wall time `wall`.
     ///
@@ -325,12 +333,9 @@
         found
     }
 
-    /// The host that sends to the cold upstream `name` of `region`.
-    pub fn sender(&self, region: &RegionId, name: &str, now: Millis) -> Option<&HostId> {
-        let key = rendezvous::digest(name);
-        let near = self.active(region, now);
-        let among = if near.is_empty() { self.active(&self.me().region, now) } else { near };
-        among.iter().map(|r| &r.id).max_by_key(|id| rendezvous::weight(key, id.as_str()))
+    /// Which hosts send to cold upstreams at `now`.
+    pub fn senders(&self, now: Millis) -> Senders<'_> {
+        Senders { fleet: self, now, by_region: BTreeMap::new() }
     }
 
     /// The hosts of `region` that callers use.
@@ -354,6 +359,22 @@
     }
 }
 
+impl<'f> Senders<'f> {
+    /// The host that sends to the cold upstream `name` of `region`.
+    pub fn of(&mut self, region: &RegionId, name: &str) -> Option<&'f HostId> {
+        let (fleet, now) = (self.fleet, self.now);
+        if !self.by_region.contains_key(region) {
+            let near = fleet.active(region, now);
+            let among = if near.is_empty() { fleet.active(&fleet.me().region, now) } else { near };
+            let ids = among.into_iter().map(|record| &record.id).collect();
+            self.by_region.insert(region.clone(), ids);
+        }
+        let key = rendezvous::digest(name);
+        let among = &self.by_region[region];
+        among.iter().copied().max_by_key(|id| rendezvous::weight(key, id.as_str()))
+    }
+}
+
 /// Takes `wanted` hosts in their order, one from each zone before a second from any.
 fn spread_over_zones(hosts: Vec<&Peer>, wanted: usize) -> Vec<&Record> {
     let mut taken: BTreeMap<&ZoneId, usize> = BTreeMap::new();
--- a/foxtail-steer/src/retry.rs
+++ b/foxtail-steer/src/retry.rs
@@ -38,6 +38,11 @@
         Self { options, services: HashMap::new() }
     }
 
+    /// Keeps to `options` from now on; what was saved up beyond them is dropped.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Notes a caller's request for `service`.
     pub fn request(&mut self, service: &ServiceId, hosts: usize, now: Millis) {
         let ratio = self.options.ratio * USED_SHARE;
@@ -55,6 +60,12 @@
         // Burst and refill within one window add up to the share of the slack.
         let burst = (share / 2.0).max(1.0);
         let rate = share / 2.0 / window.as_secs_f64().max(0.001);
-        self.services.entry(service.clone()).or_insert_with(|| Bucket::new(rate, burst, now))
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Bucket::new(rate, burst, now));
+        }
+        let bucket = self.services.get_mut(service).expect("inserted above");
+        // The share changes with the settings and with the hosts that are known.
+        bucket.reshape(rate, burst, now);
+        bucket
     }
 }
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -1,6 +1,6 @@
 //! What a host believes of the upstreams, and what it learns from the requests that it sends.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 use foxtail_types::prelude::*;
@@ -98,7 +98,7 @@
     pub(crate) by_service: HashMap<ServiceId, Vec<usize>>,
     pub(crate) work: HashMap<ServiceId, Vec<(Millis, Work)>>,
     pub(crate) caches: HashMap<ServiceId, CacheSize>,
-    pub(crate) evacuated: BTreeMap<ZoneId, Millis>,
+    pub(crate) evacuated: BTreeSet<ZoneId>,
     pub(crate) rtt_ms: HashMap<ZoneId, f64>,
     pub(crate) shift: Shift,
     capacity_seen: Millis,
@@ -194,7 +194,7 @@
             by_service: HashMap::new(),
             work: HashMap::new(),
             caches: HashMap::new(),
-            evacuated: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             rtt_ms: HashMap::new(),
             shift,
             capacity_seen: Millis::ZERO,
@@ -206,6 +206,7 @@
     /// Decides by `options` from now on.
     pub fn set_options(&mut self, options: Options) {
         self.shift.set_cap(options.shift_cap);
+        self.retries.set_options(options.retry);
         self.regions = regions(&options);
         self.options = options;
     }
@@ -221,6 +222,9 @@
             return false;
         }
         self.split.retain(|name| cfg.routes().iter().any(|route| route.name == name));
+        for kinds in self.work.values_mut() {
+            kinds.retain(|(kind, _)| cfg.routes().iter().any(|route| route.objective == *kind));
+        }
         self.cfg = Some(Arc::new(cfg));
         true
     }
@@ -241,13 +245,13 @@
     }
 
     /// Sends nothing more to the upstreams of `zone`.
-    pub fn evacuate(&mut self, zone: ZoneId, now: Millis) {
-        self.evacuated.entry(zone).or_insert(now);
+    pub fn evacuate(&mut self, zone: ZoneId) {
+        self.evacuated.insert(zone);
     }
 
     /// Takes `zone` back into use; its upstreams are taken for cold.
     pub fn end_evacuation(&mut self, zone: &ZoneId, now: Millis) {
-        if self.evacuated.remove(zone).is_none() {
+        if !self.evacuated.remove(zone) {
             return;
         }
         for at in 0..self.table.len() {
@@ -261,7 +265,7 @@
 
     /// The zones in evacuation.
     pub fn evacuated(&self) -> impl Iterator<Item = &ZoneId> {
-        self.evacuated.keys()
+        self.evacuated.iter()
     }
 
     /// The service that takes the next request of `route`.
@@ -378,17 +382,19 @@
         let mut slots: BTreeMap<RegionId, f64> =
             self.options.zones.values().map(|region| (region.clone(), 0.0)).collect();
         for known in &self.table {
-            let out = known.gone
-                || known.up.draining
-                || known.down_until > now
-                || self.evacuated.contains_key(&known.up.zone);
-            if !out && let Some(total) = slots.get_mut(&known.region) {
+            let usable = self.in_use(known) && known.down_until <= now;
+            if usable && let Some(total) = slots.get_mut(&known.region) {
                 *total += f64::from(known.up.slots);
             }
         }
         self.shift.capacity(slots, &self.options.region, now);
     }
 
+    /// Whether requests may go to the upstream as far as operators and its own word go.
+    pub(crate) fn in_use(&self, known: &Known) -> bool {
+        !known.gone && !known.up.draining && !self.evacuated.contains(&known.up.zone)
+    }
+
     pub(crate) fn cache_of(&mut self, service: &ServiceId) -> &mut CacheSize {
         if !self.caches.contains_key(service) {
             self.caches.insert(service.clone(), CacheSize::default());
@@ -609,7 +615,7 @@
 }
 
 fn regions(options: &Options) -> Vec<RegionId> {
-    let regions: std::collections::BTreeSet<&RegionId> = options.zones.values().collect();
+    let regions: BTreeSet<&RegionId> = options.zones.values().collect();
     regions.into_iter().cloned().collect()
 }
 
--- a/foxtail-steer/tests/budgets.rs
+++ b/foxtail-steer/tests/budgets.rs
@@ -63,7 +63,7 @@
     host.set_config(config(1, 5.0));
     host.set_upstream(upstream("u1", "a1"), Millis(0));
     let zone: ZoneId = "a1".parse().unwrap();
-    host.evacuate(zone.clone(), Millis(0));
+    host.evacuate(zone.clone());
     let route = route("r");
     assert!(send(&mut host, &fleet, &route, 1, Millis(100)).is_none());
     host.end_evacuation(&zone, Millis(2_000));
@@ -229,3 +229,33 @@
         .count();
     assert_eq!(served, 20);
 }
+
+/// How many retries `host` gets at once.
+fn retries_at_once(host: &mut Steering, hosts: usize, now: Millis) -> usize {
+    let service = service();
+    (0..1_000).take_while(|_| host.take_retry(&service, hosts, now)).count()
+}
+
+#[test]
+fn a_retry_budget_that_the_settings_lower_holds_from_then_on() {
+    let mut host = Steering::new(options("h1", "a"));
+    let service = service();
+    let rich = |host: &mut Steering, now| (0..400).for_each(|_| host.arrived(&service, 1, now));
+    rich(&mut host, Millis(0));
+    let mut lowered = options("h1", "a");
+    lowered.retry = retry::Options { ratio: 0.2, slack: 10.0, window: Millis::secs(10) };
+    host.set_options(lowered);
+    rich(&mut host, Millis(10));
+    let got = retries_at_once(&mut host, 1, Millis(10));
+    assert!(got <= 10, "{got} retries at once with a slack of 10");
+}
+
+#[test]
+fn a_host_that_learns_of_others_leaves_them_their_part_of_the_slack() {
+    let mut host = Steering::new(options("h1", "a"));
+    let service = service();
+    host.arrived(&service, 1, Millis(0));
+    (0..400).for_each(|_| host.arrived(&service, 20, Millis(10)));
+    let got = retries_at_once(&mut host, 20, Millis(10));
+    assert!(got <= 100 / 20, "{got} retries at once of 20 hosts that share a slack of 100");
+}
