feat(steer): a request that crashed three upstreams is sent no more

A request that crashes each upstream which runs it comes again at any host; each host sent it on as often as its caller asked. Connections that break before an answer are now strikes against the request (caller, method, path, body); three by different upstreams without an answer between them bar it for ten minutes. Strikes travel in digests, and at once from the second one on. An answer clears the request, so that objects which many ask for are not barred when upstreams crash or links reset connections.

--- a/foxtail-entry/src/cx.rs
+++ b/foxtail-entry/src/cx.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use foxtail_net::Dial;
-use foxtail_steer::{Fleet, Steering};
+use foxtail_steer::{Fleet, Steering, Suspects};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -28,6 +28,7 @@
     pub(crate) steering: Mutex<Steering>,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) knowledge: Mutex<Knowledge>,
+    pub(crate) suspects: Mutex<Suspects>,
     /// There is news to tell other hosts.
     pub(crate) news: Notify,
     /// Tasks that answer or ask other hosts.
@@ -64,6 +65,7 @@
             dialect,
             store,
             knowledge: Mutex::default(),
+            suspects: Mutex::default(),
             news: Notify::new(),
             tasks: TaskTracker::new(),
             pool: Pool::new(Arc::clone(&dial)),
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use foxtail_steer::fleet::{Digest, PERIOD, Phase};
+use foxtail_steer::suspects::STRIKES_MOST;
 use foxtail_types::prelude::*;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
@@ -22,6 +23,10 @@
 /// The pause before registering is tried again.
 const REGISTER_AGAIN: Millis = Millis(700);
 
+/// Strikes against a request from which on other hosts are told at once. A single one is most often
+/// the fault of an upstream or a link, and travels with the next digests.
+pub(crate) const STRIKES_TOLD_AT_ONCE: usize = STRIKES_MOST - 1;
+
 /// Takes in digests until the host ends.
 pub(crate) async fn receive(cx: Arc<Cx>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; DIGEST_MOST];
@@ -61,6 +66,7 @@
         }
     }
     let now = cx.now();
+    learn_strikes(cx, digest, now);
     let reply = {
         let mut fleet = cx.fleet.lock();
         for (host, phase) in fleet.receive(digest, now) {
@@ -69,7 +75,20 @@
         digest.reply.then(|| fleet.digest(now, false))
     };
     if let Some(reply) = reply {
-        send(socket, &reply, digest.from.peer).await;
+        send(cx, socket, reply, digest.from.peer).await;
+    }
+}
+
+/// Takes in requests that broke connections at other hosts, and passes on what is new.
+fn learn_strikes(cx: &Cx, digest: &Digest, now: Millis) {
+    let mut suspects = cx.suspects.lock();
+    for strike in &digest.strikes {
+        let Some(strikes) = suspects.learn(strike, now) else { continue };
+        tracing::info!(event = "suspect", fingerprint = %strike.request, strikes,
+            heard_from = %digest.from.id, age_ms = strike.age.0);
+        if strikes >= STRIKES_TOLD_AT_ONCE {
+            cx.news.notify_one();
+        }
     }
 }
 
@@ -108,12 +127,12 @@
             (near, far.map(|to| (fleet.digest_for_others(now), *to)))
         };
         for (digest, to) in near.into_iter().chain(far) {
-            send(&socket, &digest, to).await;
+            send(&cx, &socket, digest, to).await;
         }
     }
 }
 
-/// Tells all hosts of the region that the store has something new.
+/// Tells all hosts of the region that the store has something new, or a request is suspected.
 async fn tell_news(cx: &Cx, socket: &UdpSocket) {
     let now = cx.now();
     let (word, near) = {
@@ -121,7 +140,7 @@
         (fleet.word(now), fleet.targets().0)
     };
     for to in near {
-        send(socket, &word, to).await;
+        send(cx, socket, word.clone(), to).await;
     }
 }
 
@@ -134,7 +153,7 @@
         (fleet.digest(now, reply), near, far)
     };
     for to in near.into_iter().chain(far) {
-        send(socket, &digest, to).await;
+        send(cx, socket, digest.clone(), to).await;
     }
 }
 
@@ -179,8 +198,9 @@
     announce(cx, socket, false).await;
 }
 
-async fn send(socket: &UdpSocket, digest: &Digest, to: SocketAddr) {
-    let bytes = match postcard::to_stdvec(digest) {
+async fn send(cx: &Cx, socket: &UdpSocket, mut digest: Digest, to: SocketAddr) {
+    digest.strikes = cx.suspects.lock().to_tell(cx.now());
+    let bytes = match postcard::to_stdvec(&digest) {
         Ok(bytes) => bytes,
         Err(e) => {
             tracing::warn!(event = "digest_not_encoded", error = %e);
--- a/foxtail-entry/src/lookup.rs
+++ b/foxtail-entry/src/lookup.rs
@@ -47,6 +47,7 @@
 pub(crate) fn metrics(cx: &Cx, _req: &Request<Incoming>) -> Response<Body> {
     let now = cx.now();
     let hosts = cx.fleet.lock().alive(now);
-    cx.metrics.sizes(hosts, cx.steering.lock().upstreams());
+    let strikes = cx.suspects.lock().strikes();
+    cx.metrics.sizes(hosts, cx.steering.lock().upstreams(), strikes);
     text(StatusCode::OK, cx.metrics.page())
 }
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -17,12 +17,13 @@
     requests: Histogram<f64>,
     attempts: Histogram<f64>,
     store: Histogram<f64>,
-    store_bytes: Counter<u64>,
+    store_facts: Counter<u64>,
     connects: Counter<u64>,
     lookups: Counter<u64>,
     digests: Counter<u64>,
     hosts: Gauge<u64>,
     upstreams: Gauge<u64>,
+    strikes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -41,12 +42,13 @@
             requests: seconds("request_duration_seconds", "from a request's head to its outcome"),
             attempts: seconds("attempt_duration_seconds", "from sending to an upstream's answer"),
             store: seconds("store_call_duration_seconds", "calls to the platform's store"),
-            store_bytes: meter.u64_counter("store_facts_total").build(),
+            store_facts: meter.u64_counter("store_facts_total").build(),
             connects: meter.u64_counter("upstream_connects_total").build(),
             lookups: meter.u64_counter("lookups_total").build(),
             digests: meter.u64_counter("digests_received_total").build(),
             hosts: meter.u64_gauge("hosts_alive").build(),
             upstreams: meter.u64_gauge("upstreams_registered").build(),
+            strikes: meter.u64_gauge("strikes_kept").build(),
             reader,
             provider,
         }
@@ -75,7 +77,7 @@
     ) {
         let labels = [KeyValue::new("call", call), KeyValue::new("outcome", outcome)];
         self.store.record(took.as_secs_f64(), &labels);
-        self.store_bytes.add(facts as u64, &labels[..1]);
+        self.store_facts.add(facts as u64, &labels[..1]);
     }
 
     pub(crate) fn connect(&self, outcome: &'static str) {
@@ -90,9 +92,10 @@
         self.digests.add(1, &[]);
     }
 
-    pub(crate) fn sizes(&self, hosts: usize, upstreams: usize) {
+    pub(crate) fn sizes(&self, hosts: usize, upstreams: usize, strikes: usize) {
         self.hosts.record(hosts as u64, &[]);
         self.upstreams.record(upstreams as u64, &[]);
+        self.strikes.record(strikes as u64, &[]);
     }
 
     /// All metrics as text.
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -1,12 +1,14 @@
 //! A caller's request, from its head to its answer.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use foxtail_net::http::Body;
 use foxtail_steer::steering::{Ended, Placement, Request as Wanted, Why};
-use foxtail_steer::{Config, Route};
+use foxtail_steer::suspects::Fingerprint;
+use foxtail_steer::{Config, Route, Upstream};
 use foxtail_types::outcome::Reason;
 use foxtail_types::prelude::*;
 use http_body_util::{BodyExt, Limited};
@@ -21,6 +23,7 @@
 use crate::answer::Refusal;
 use crate::attempt::{Forward, Tried, attempt, name};
 use crate::cx::Cx;
+use crate::gossip::STRIKES_TOLD_AT_ONCE;
 use crate::ports::Call;
 
 /// A caller that names no deadline waits this long.
@@ -59,10 +62,10 @@
 }
 
 /// Answers `req`.
-pub(crate) async fn handle(cx: Arc<Cx>, req: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(cx: Arc<Cx>, req: Request<Incoming>, caller: IpAddr) -> Response<Body> {
     let arrived = cx.now();
     cx.requests.fetch_add(1, Ordering::Relaxed);
-    let mut response = match serve(&cx, req, arrived).await {
+    let mut response = match serve(&cx, req, caller, arrived).await {
         Ok(response) => response,
         Err(refusal) => refusal.response(),
     };
@@ -75,6 +78,7 @@
 async fn serve(
     cx: &Arc<Cx>,
     req: Request<Incoming>,
+    caller: IpAddr,
     arrived: Millis,
 ) -> Result<Response<Body>, Refusal> {
     let (mut head, body) = req.into_parts();
@@ -104,7 +108,14 @@
     let body = body.inspect_err(|refusal| story.refused(cx, "-", refusal, None))?;
     strip(&mut head.headers);
     let held = Held::new(cx, body.len() as u64);
-    let result = forward(cx, &mut story, route, &head, body, until).await;
+    let print = fingerprint(caller, &head, &body);
+    if let Some(barred) = cx.suspects.lock().barred_for(print, arrived) {
+        let refusal = Refusal::not_run(Reason::Convicted, barred);
+        tracing::info!(event = "barred", request = call.id, fingerprint = %print);
+        story.refused(cx, "-", &refusal, None);
+        return Err(refusal);
+    }
+    let result = forward(cx, &mut story, route, &head, (body, print), until).await;
     drop(held);
     result
 }
@@ -116,6 +127,12 @@
     cfg.route(name, head.uri.path())
 }
 
+fn fingerprint(caller: IpAddr, head: &Parts, body: &[u8]) -> Fingerprint {
+    let host = head.headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    Fingerprint::new(&caller.to_string(), head.method.as_str(), host, path, body)
+}
+
 /// Reads a whole request body.
 async fn collect(cx: &Cx, body: Incoming, most: usize, until: Millis) -> Result<Bytes, Refusal> {
     let declared = hyper::body::Body::size_hint(&body).lower();
@@ -156,7 +173,7 @@
     story: &mut Story<'_>,
     route: &Route,
     head: &Parts,
-    body: Bytes,
+    (body, print): (Bytes, Fingerprint),
     until: Millis,
 ) -> Result<Response<Body>, Refusal> {
     let hosts = cx.fleet.lock().registered();
@@ -218,11 +235,17 @@
         tries.upstreams.push(up.id.clone());
         match attempt(cx, &up, &fwd, why.wait_ms).await {
             Tried::Answered(response) => {
+                cx.suspects.lock().answered(print);
                 story.answered(cx, &service, response.status());
                 return Ok(answer_of(response));
             }
             Tried::NotRun(ended) => tries.note(ended, false),
-            Tried::MayHaveRun(ended) => tries.note(ended, true),
+            Tried::MayHaveRun(ended) => {
+                tries.note(ended, true);
+                if ended == Ended::Broken && story.struck(cx, print, &up) {
+                    break tries.give_up(Reason::Convicted, SHED_AFTER);
+                }
+            }
         }
         if !tries.may_go_on(route) {
             break tries.give_up(Reason::UpstreamUnavailable, SHED_AFTER);
@@ -297,6 +320,21 @@
         );
     }
 
+    /// Notes that the connection to `up` broke under the request, and tells whether it is not to be
+    /// sent any more.
+    fn struck(&self, cx: &Cx, print: Fingerprint, up: &Upstream) -> bool {
+        let now = cx.now();
+        let mut suspects = cx.suspects.lock();
+        if let Some(strikes) = suspects.struck(print, &up.id, up.started, now) {
+            tracing::info!(event = "suspect", request = self.call.id, fingerprint = %print, strikes,
+                upstream = %up.id);
+            if strikes >= STRIKES_TOLD_AT_ONCE {
+                cx.news.notify_one();
+            }
+        }
+        suspects.barred_for(print, now).is_some()
+    }
+
     fn answered(&self, cx: &Cx, service: &ServiceId, status: StatusCode) {
         let took = cx.now().since(self.arrived);
         cx.metrics.request(service.as_str(), "answered", took);
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -1,7 +1,7 @@
 //! Listeners and their connections.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use anyhow::Context;
@@ -66,8 +66,8 @@
             () = stop.cancelled() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                conns.spawn(connection(Arc::clone(&cx), stream, serves));
+            Ok((stream, from)) => {
+                conns.spawn(connection(Arc::clone(&cx), stream, from.ip(), serves));
             }
             Err(e) => {
                 tracing::warn!(event = "accept_failed", ?serves, error = %e);
@@ -77,7 +77,7 @@
     }
 }
 
-async fn connection(cx: Arc<Cx>, stream: TcpStream, serves: Serves) {
+async fn connection(cx: Arc<Cx>, stream: TcpStream, from: IpAddr, serves: Serves) {
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = "no_delay_refused", error = %e);
     }
@@ -85,7 +85,7 @@
     let closing = cx.life.closing.clone();
     let service = service_fn(|req: Request<Incoming>| {
         let cx = Arc::clone(&cx);
-        async move { Ok::<Response<Body>, Infallible>(answer(cx, req, serves).await) }
+        async move { Ok::<Response<Body>, Infallible>(answer(cx, req, from, serves).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -106,9 +106,14 @@
     }
 }
 
-async fn answer(cx: Arc<Cx>, req: Request<Incoming>, serves: Serves) -> Response<Body> {
+async fn answer(
+    cx: Arc<Cx>,
+    req: Request<Incoming>,
+    from: IpAddr,
+    serves: Serves,
+) -> Response<Body> {
     match serves {
-        Serves::Requests => request::handle(cx, req).await,
+        Serves::Requests => request::handle(cx, req, from).await,
         Serves::Lookups => lookup::lookup(&cx, &req),
         Serves::Health => lookup::health(&cx, &req),
         Serves::Metrics => lookup::metrics(&cx, &req),
--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -141,6 +141,13 @@
     exchange(lookup, head).await.body
 }
 
+/// The value of `node`'s metric `name`, which has no labels.
+pub(crate) async fn metric(node: &Node, name: &str) -> Option<f64> {
+    let addr = node.settings().metrics?;
+    let page = exchange(addr, "GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n").await.body;
+    page.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix("{} ")?.parse().ok())
+}
+
 /// Waits until `holds`.
 pub(crate) async fn until(what: &str, holds: impl AsyncFn() -> bool) {
     let end = tokio::time::Instant::now() + PATIENCE;
--- a/foxtail-entry/tests/once.rs
+++ b/foxtail-entry/tests/once.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{World, exchange, request, until};
-use foxtail_standin::service::Act;
+use foxtail_standin::service::{Act, Service};
 
 #[tokio::test]
 async fn a_request_that_may_have_run_is_never_sent_again_nor_called_unrun() {
@@ -205,3 +205,49 @@
     assert_eq!(slow.await.unwrap().status, 200);
     stopping.await.unwrap();
 }
+
+#[tokio::test]
+async fn a_request_that_crashes_every_upstream_is_stopped_at_all_hosts() {
+    let world = World::new();
+    world.configure(7);
+    let mut ups = Vec::new();
+    for n in 0..8 {
+        ups.push(world.upstream(&format!("up-{n}"), "a1").await);
+    }
+    let door = world.door().await;
+    let hosts =
+        [world.ready_host("h-1", "a1", &door).await, world.ready_host("h-2", "a2", &door).await];
+    ups.iter().for_each(|up| up.always(Act::RunAndClose));
+    let send = async |host: &foxtail_entry::Node, id: &str, path: &str| {
+        exchange(host.settings().caller, &request("GET", path, id, 1_500, "")).await
+    };
+    // Two tries at the first host, and one or two more at the second.
+    send(&hosts[0], "p1", "/read/bad").await;
+    let (ran, ups): (Vec<_>, Vec<_>) = ups.into_iter().partition(|up| up.runs() > 0);
+    assert_eq!(ran.len(), 2);
+    for up in ran {
+        up.crash().await;
+    }
+    until("the other host heard of it", async || {
+        common::metric(&hosts[1], "strikes_kept").await == Some(2.0)
+    })
+    .await;
+    send(&hosts[1], "p2", "/read/bad").await;
+    let runs = |ups: &[Service]| ups.iter().map(|up| up.runs()).sum::<usize>();
+    assert_eq!(runs(&ups), 1);
+    until("the first host heard of it", async || {
+        common::metric(&hosts[0], "strikes_kept").await == Some(3.0)
+    })
+    .await;
+    for (n, host) in hosts.iter().cycle().take(6).enumerate() {
+        let got = send(host, &format!("p3-{n}"), "/read/bad").await;
+        assert_eq!(got.status, 503);
+        assert!(got.headers["retry-after"].parse::<f64>().unwrap() > 60.0);
+    }
+    assert_eq!(runs(&ups), 1, "it ran after it had crashed three upstreams");
+    ups.iter().for_each(|up| up.always(Act::Answer));
+    assert_eq!(send(&hosts[0], "p4", "/read/good").await.status, 200);
+    for host in hosts {
+        host.stop().await;
+    }
+}
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -11,6 +11,7 @@
 use foxtail_types::prelude::*;
 
 use crate::rendezvous;
+use crate::suspects::Strike;
 
 /// How often a host sends digests.
 pub const PERIOD: Millis = Millis(400);
@@ -100,6 +101,8 @@
     pub versions: Versions,
     /// What it knows of hosts, itself first.
     pub beats: Vec<Beat>,
+    /// Requests that broke connections to upstreams lately.
+    pub strikes: Vec<Strike>,
     /// Whether the receiver should send its own at once.
     pub reply: bool,
 }
@@ -285,7 +288,7 @@
                 Beat { host: *key, beat, phase, rate, store_lost }
             })
             .collect();
-        Digest { from, versions: self.versions, beats, reply }
+        Digest { from, versions: self.versions, beats, strikes: Vec::new(), reply }
     }
 
     /// Where digests may be sent: all hosts but this one, those of its region first.
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -16,6 +16,7 @@
 mod shift;
 mod split;
 pub mod steering;
+pub mod suspects;
 pub mod upstream;
 
 pub use bucket::Bucket;
@@ -25,4 +26,5 @@
 pub use retry::RetryBudget;
 pub use split::Split;
 pub use steering::Steering;
+pub use suspects::Suspects;
 pub use upstream::Upstream;
