--- a/foxtail-config/src/compile/error.rs
+++ b/foxtail-config/src/error.rs
@@ -1,3 +1,5 @@
+//! What is wrong with an input.
+
 use std::fmt;
 
 use foxtail_types::prelude::*;
@@ -40,7 +42,7 @@
 }
 
 impl Error {
-    pub(super) fn push(
+    pub(crate) fn push(
         &mut self,
         parameter: impl Into<String>,
         reason: impl Into<String>,
@@ -50,13 +52,13 @@
         self.problems.push(Problem { parameter, reason, accepted: accepted.into() });
     }
 
-    pub(super) fn push_report(&mut self, root: &str, report: &garde::Report) {
+    pub(crate) fn push_report(&mut self, root: &str, report: &garde::Report) {
         for (path, error) in report.iter() {
             self.push(format!("{root}.{path}"), error.to_string(), "a value within the bound");
         }
     }
 
-    pub(super) fn into_result<'a, T: 'a>(self, value: T) -> Result<T, Error> {
+    pub(crate) fn into_result<'a, T: 'a>(self, value: T) -> Result<T, Error> {
         if self.problems.is_empty() { Ok(value) } else { Err(self) }
     }
 }
--- a/foxtail-config/src/lib.rs
+++ b/foxtail-config/src/lib.rs
@@ -1,25 +1,24 @@
-//! Workspaces: templates, parameters, checks, plans and versions.
+//! Workspaces: templates, their parameters, checks, headroom and plans.
 //!
-//! An operator's input is a [`Template`] and its [`Params`], and for the whole site one
-//! [`NetworkParams`]. [`compile::workspace`] and [`compile::network`] check them and make the
-//! [`spec`] that hosts use. [`headroom::assess`] tells what a configuration leaves free, and
-//! [`plan`] compares two of them and refuses what would overload a region or a link.
+//! An operator's input is a [`Template`] and its [`Params`]. [`compile()`] checks them and makes the
+//! workspace's part of the configuration that hosts use; [`headroom::assess`] tells what a site
+//! leaves free, and [`plan`] compares two configurations and refuses a change that would overload
+//! a service.
 
-pub mod compile;
+mod compile;
 pub mod diff;
+mod error;
 pub mod headroom;
 pub mod params;
 pub mod plan;
-pub mod spec;
-pub mod stage;
+pub mod site;
 pub mod template;
 
+pub use compile::{Part, compile, owner_of};
 pub use diff::Difference;
+pub use error::{Error, Problem};
 pub use headroom::Headroom;
-pub use params::{Limit, NetworkParams, Params};
+pub use params::Params;
 pub use plan::Plan;
-pub use spec::{
-    ClientBlock, Drain, DrainTarget, Link, Network, OnceRule, Region, Service, Snapshot, Upstream,
-    Workspace,
-};
-pub use template::Template;
+pub use site::Site;
+pub use template::{Limit, Range, Template};
--- a/foxtail-entry/src/cx.rs
+++ b/foxtail-entry/src/cx.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use foxtail_net::Dial;
+use foxtail_place::BlockMap;
 use foxtail_steer::{Fleet, Steering, Suspects};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
@@ -12,6 +13,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::knowledge::Knowledge;
+use crate::lookup::Directory;
 use crate::metrics::Metrics;
 use crate::node::Ports;
 use crate::pool::Pool;
@@ -28,6 +30,7 @@
     pub(crate) steering: Mutex<Steering>,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) knowledge: Mutex<Knowledge>,
+    pub(crate) directory: Directory,
     pub(crate) suspects: Mutex<Suspects>,
     /// There is news to tell other hosts.
     pub(crate) news: Notify,
@@ -55,7 +58,8 @@
 }
 
 impl Cx {
-    pub(crate) fn new(settings: Settings, ports: Ports) -> Self {
+    /// What a host with `settings` starts with.
+    pub(crate) fn new(settings: Settings, blocks: BlockMap, ports: Ports) -> Self {
         let Ports { dial, clock, dialect, store } = ports;
         Self {
             steering: Mutex::new(Steering::new(settings.steering())),
@@ -65,6 +69,7 @@
             dialect,
             store,
             knowledge: Mutex::default(),
+            directory: Directory::new(blocks),
             suspects: Mutex::default(),
             news: Notify::new(),
             tasks: TaskTracker::new(),
--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -176,6 +176,7 @@
             Ok(facts) => ("done", facts.facts.len()),
             Err(Error::Unavailable(_)) => ("unavailable", 0),
             Err(Error::Throttled) => ("throttled", 0),
+            Err(Error::Unreachable(_)) => ("unreachable", 0),
             Err(Error::NoAnswer(_)) => ("no-answer", 0),
             Err(Error::Forgotten) => ("forgotten", 0),
             Err(Error::Malformed(_)) => ("malformed", 0),
--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod lookup;
 mod metrics;
 mod node;
+mod operator;
 mod pool;
 pub mod ports;
 mod request;
--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -9,6 +9,7 @@
 use foxtail_net::Dial;
 use foxtail_steer::fleet::Phase;
 use foxtail_types::prelude::*;
+use jsonrpsee::server::ServerHandle;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::task::TaskTracker;
 
@@ -16,7 +17,7 @@
 use crate::ports::{Area, Dialect, Store};
 use crate::serve::{Serves, accept, listen};
 use crate::settings::Settings;
-use crate::{follow, gossip, share};
+use crate::{follow, gossip, operator, share};
 
 /// The part of the time for a stop, in percent, after which idle connections are closed. Until
 /// then callers learn from look-ups and answers that the host leaves.
@@ -52,6 +53,7 @@
     conns: TaskTracker,
     /// Connections of look-ups, health checks and metrics.
     others: TaskTracker,
+    operators: Option<ServerHandle>,
 }
 
 impl Node {
@@ -73,11 +75,18 @@
         if let Some(addr) = &mut settings.metrics {
             listeners.push(bind(addr, Serves::Metrics)?);
         }
+        let operators = match &mut settings.operator {
+            Some(addr) => Some(bind(addr, Serves::Operators)?.0),
+            None => None,
+        };
         tracing::info!(event = "start", host = %settings.host, zone = %settings.zone,
             region = %settings.region, caller = %settings.caller);
-        let cx = Arc::new(Cx::new(settings, ports));
+        let blocks = settings.block_map().context("blocks")?;
+        let cx = Arc::new(Cx::new(settings, blocks, ports));
         let (conns, others) = (TaskTracker::new(), TaskTracker::new());
-        let node = Self { cx, socket: Arc::new(socket), tasks: TaskTracker::new(), conns, others };
+        let operators = operators.map(|listener| operator::serve(&cx, listener)).transpose()?;
+        let (socket, tasks) = (Arc::new(socket), TaskTracker::new());
+        let node = Self { cx, socket, tasks, conns, others, operators };
         for (listener, serves) in listeners {
             let (conns, stop) = match serves {
                 Serves::Requests => (&node.conns, &node.cx.life.closing),
@@ -113,13 +122,17 @@
             return;
         }
         tracing::info!(event = "reload", host = %settings.host);
+        match settings.block_map() {
+            Ok(blocks) => self.cx.directory.set_blocks(blocks),
+            Err(e) => tracing::warn!(event = "blocks_rejected", error = %e),
+        }
         self.cx.steering.lock().set_options(settings.steering());
         *self.cx.settings.lock() = Arc::new(settings);
     }
 
     /// Stops the host: callers are sent to other hosts, requests under way are finished.
     pub async fn stop(self) {
-        let Self { cx, socket, tasks, conns, others } = self;
+        let Self { cx, socket, tasks, conns, others, operators } = self;
         let grace = cx.settings.lock().stop();
         let since = cx.now();
         let requests = cx.requests.load(Ordering::Relaxed);
@@ -146,6 +159,9 @@
         cx.tasks.close();
         cx.tasks.wait().await;
         others.close();
+        if let Some(operators) = operators {
+            operator::stop(operators).await;
+        }
         // Connections without a request end at once when their last user is gone.
         if tokio::time::timeout(CLOSE_POOL_MOST, cx.pool.close()).await.is_err() {
             tracing::info!(event = "upstream_connections_left");
--- a/foxtail-entry/src/ports.rs
+++ b/foxtail-entry/src/ports.rs
@@ -73,10 +73,10 @@
 /// A caller's question which hosts to use.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lookup {
-    /// The caller's region.
-    pub region: RegionId,
-    /// The caller's zone.
-    pub zone: ZoneId,
+    /// The caller's region, if it says so.
+    pub region: Option<RegionId>,
+    /// The caller's zone, if it says so.
+    pub zone: Option<ZoneId>,
 }
 
 /// The platform's store.
@@ -174,6 +174,9 @@
     /// The rate of calls is exceeded; nothing was done.
     #[error("the store's rate of calls is exceeded")]
     Throttled,
+    /// No connection could be made; nothing was done.
+    #[error("the store could not be reached: {0}")]
+    Unreachable(String),
     /// No answer; what was asked may have been done.
     #[error("the store did not answer: {0}")]
     NoAnswer(String),
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -41,6 +41,8 @@
     Metrics,
     /// Other hosts' questions.
     Hosts,
+    /// Operators' questions.
+    Operators,
 }
 
 /// Opens a listener at `addr`.
@@ -114,9 +116,9 @@
 ) -> Response<Body> {
     match serves {
         Serves::Requests => request::handle(cx, req, from).await,
-        Serves::Lookups => lookup::lookup(&cx, &req),
+        Serves::Lookups => lookup::lookup(&cx, &req, from),
         Serves::Health => lookup::health(&cx, &req),
         Serves::Metrics => lookup::metrics(&cx, &req),
-        Serves::Hosts => unreachable!("hosts are answered by the share service"),
+        Serves::Hosts | Serves::Operators => unreachable!("they have servers of their own"),
     }
 }
--- a/foxtail-entry/src/settings.rs
+++ b/foxtail-entry/src/settings.rs
@@ -5,10 +5,12 @@
 use std::path::Path;
 
 use anyhow::Context;
+use foxtail_place::{Block, BlockMap, Site, SiteIndex, map};
 use foxtail_steer::fleet::Record;
 use foxtail_steer::{retry, steering};
 use foxtail_types::prelude::*;
 use garde::Validate;
+use ipnet::IpNet;
 use serde::{Deserialize, Serialize};
 
 /// The settings of one entry host. Unknown fields are errors.
@@ -42,6 +44,10 @@
     /// Where the metrics are served as text, if anywhere.
     #[garde(skip)]
     pub metrics: Option<SocketAddr>,
+    /// Where operators ask for the host's state, if anywhere.
+    #[garde(skip)]
+    #[serde(default)]
+    pub operator: Option<SocketAddr>,
     /// The platform's store.
     #[garde(skip)]
     pub store: SocketAddr,
@@ -59,11 +65,30 @@
     #[garde(range(min = 0.5, max = 100.0))]
     #[serde(default = "refuse_factor_default")]
     pub refuse_factor: f64,
+    /// Where callers are that do not say so, by their addresses. An inner block goes before one that
+    /// encloses it.
+    #[garde(length(max = 10_000))]
+    #[serde(default)]
+    pub blocks: Vec<CallerBlock>,
     /// The share of a region's requests that may change their region within two seconds.
     #[garde(range(min = 0.01, max = 1.0))]
     pub shift_cap: f64,
 }
 
+/// A block of callers' addresses, and where they are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+#[serde(deny_unknown_fields)]
+pub struct CallerBlock {
+    /// The addresses.
+    pub net: IpNet,
+    /// Their region.
+    pub region: RegionId,
+    /// Their zone, if they are nearer to one than to the others.
+    #[serde(default)]
+    pub zone: Option<ZoneId>,
+}
+
 /// How much of a service's load may be requests that are sent once more.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -116,6 +141,7 @@
     pub fn parse(text: &str) -> anyhow::Result<Self> {
         let settings: Settings = serde_json::from_str(text)?;
         settings.validate()?;
+        settings.block_map().context("blocks")?;
         Ok(settings)
     }
 
@@ -127,6 +153,7 @@
             zone: self.zone.clone(),
             caller: self.caller,
             peer: self.peer,
+            operator: self.operator,
         }
     }
 
@@ -146,6 +173,26 @@
         }
     }
 
+    /// Where callers are.
+    ///
+    /// # Errors
+    ///
+    /// [`map::Error`] names the first block that can't be taken.
+    pub fn block_map(&self) -> Result<BlockMap, map::Error> {
+        let mut sites: Vec<Site> = Vec::new();
+        let mut blocks = Vec::with_capacity(self.blocks.len());
+        for block in &self.blocks {
+            let site = Site { region: block.region.clone(), zone: block.zone.clone() };
+            let at = sites.iter().position(|known| *known == site).unwrap_or_else(|| {
+                sites.push(site);
+                sites.len() - 1
+            });
+            let site = u16::try_from(at).map_err(|_| map::Error::TooManySites(sites.len()))?;
+            blocks.push(Block { net: block.net, site: SiteIndex(site) });
+        }
+        BlockMap::build(Version::default(), sites, &blocks)
+    }
+
     /// How long the process may take to stop.
     pub fn stop(&self) -> Millis {
         millis(self.stop_s)
--- a/foxtail-entry/tests/serving.rs
+++ b/foxtail-entry/tests/serving.rs
@@ -168,3 +168,34 @@
     assert!(more.contains("up-1 ran r2"));
     node.stop().await;
 }
+
+#[tokio::test]
+async fn callers_that_do_not_say_where_they_are_are_placed_by_their_addresses() {
+    let world = World::new();
+    world.configure(7);
+    let _up = world.upstream("up-1", "a1").await;
+    let door = world.door().await;
+    let near = world.ready_host("h-1", "a1", &door).await;
+    let far = world.ready_host("h-2", "b1", &door).await;
+    common::until("both know each other", async || {
+        common::metric(&near, "hosts_alive").await == Some(2.0)
+    })
+    .await;
+    let asked = async || {
+        let mut stream = foxtail_standin::caller::connect(near.settings().lookup).await.unwrap();
+        foxtail_standin::caller::look_up(&mut stream, "svc.example", None).await
+    };
+    assert_eq!(asked().await, Some(vec![near.settings().caller]), "the host's own region");
+    let mut settings = (*near.settings()).clone();
+    settings.blocks = serde_json::from_str(
+        r#"[{"net": "127.0.0.0/8", "region": "a"}, {"net": "127.0.0.1/32", "region": "b"}]"#,
+    )
+    .unwrap();
+    near.reload(settings);
+    common::until("the inner block counts", async || {
+        asked().await == Some(vec![far.settings().caller])
+    })
+    .await;
+    near.stop().await;
+    far.stop().await;
+}
--- a/foxtail-lab/src/lib.rs
+++ b/foxtail-lab/src/lib.rs
@@ -1,13 +1,11 @@
-//! Load and experiment tools over the stand-ins.
+//! Tools to load and to try the system.
 //!
-//! [`shape`] holds the two users' workspaces as the brief gives them. [`model`] is an event-driven
-//! model of callers, hosts and upstreams in virtual time that compares policies. [`scenario`] runs
-//! scripts of failures against the decision code.
+//! - [`site::Site`] is a whole site in one process over loopback, with delays and link rates;
+//!   [`load`] sends it requests, [`report`] judges what callers and upstreams saw.
+//! - [`model`] plays the decisions of hosts in virtual time, to compare policies in seconds.
 
-pub mod fleet;
 pub mod load;
 pub mod model;
-pub mod operator;
 pub mod report;
-pub mod scenario;
 pub mod shape;
+pub mod site;
--- a/foxtail-platform/src/lib.rs
+++ b/foxtail-platform/src/lib.rs
@@ -1,14 +1,11 @@
-//! Ports to the platform: table, object store and host list, with HTTP adapters.
+//! Ports to what the platform keeps for the project beyond its configuration: a transactional table
+//! and an object store, with a guard that holds a host to its share of them.
 
 mod base64_bytes;
 pub mod guard;
-pub mod hosts;
-pub mod http;
 pub mod objects;
-pub mod proto;
 pub mod table;
 
 pub use guard::Guard;
-pub use hosts::{HostEntry, HostList, HostState};
 pub use objects::Objects;
 pub use table::{Row, Table, Txn};
--- a/foxtail-standin/src/lib.rs
+++ b/foxtail-standin/src/lib.rs
@@ -1,8 +1,8 @@
-//! Stand-ins for the platform, upstreams and network, for tests and experiments.
+//! Stand-ins for the platform, upstreams, callers and the network, for tests and experiments.
 
-pub mod members;
+pub mod caller;
 pub mod net;
 pub mod platform;
+mod rate;
 pub mod service;
 pub mod store;
-pub mod upstream;
--- a/foxtail-standin/src/net/mod.rs
+++ b/foxtail-standin/src/net/mod.rs
@@ -9,5 +9,5 @@
 mod link;
 mod pump;
 
-pub use fabric::{Cut, Fabric, Options, Place};
+pub use fabric::{Cut, Fabric, Options, Place, Route};
 pub use link::Traffic;
--- a/foxtail-standin/src/store/mod.rs
+++ b/foxtail-standin/src/store/mod.rs
@@ -3,8 +3,10 @@
 //! A [`Store`] holds the data. Each [`Door`] is an address under which it is reached, with faults of
 //! its own, so that some hosts may be turned away while others are served.
 
+mod desired;
 mod door;
 mod rows;
 
-pub use door::{Counts, Door, Fault};
+pub use desired::config;
+pub use door::{Counts, Door, Fault, Rates};
 pub use rows::Store;
--- a/foxtail-steer/src/config.rs
+++ b/foxtail-steer/src/config.rs
@@ -87,6 +87,8 @@
     pub warm_up: Millis,
     /// How many requests a second a cold upstream takes.
     pub cold_rate: f64,
+    /// How many connections one upstream takes from all hosts together.
+    pub connections: u32,
 }
 
 /// Bounds on what a caller may send.
@@ -143,6 +145,11 @@
         self.services.get(name)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// All routes.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -54,6 +54,8 @@
     pub caller: SocketAddr,
     /// Where other hosts reach it.
     pub peer: SocketAddr,
+    /// Where operators reach it, if anywhere.
+    pub operator: Option<SocketAddr>,
 }
 
 /// How far a host is in its life.
@@ -234,6 +236,11 @@
         self.own().store_lost = lost;
     }
 
+    /// Whether the store fails this host.
+    pub fn store_lost(&self) -> bool {
+        self.peers[&short(&self.me)].store_lost
+    }
+
     /// Whether this host reads the store for its region.
     pub fn is_reader(&self, now: Millis) -> bool {
         let region = &self.me().region;
--- a/foxtail-steer/tests/common/mod.rs
+++ b/foxtail-steer/tests/common/mod.rs
@@ -55,6 +55,7 @@
         health_path: "/health".to_owned(),
         warm_up: Millis::secs(3),
         cold_rate,
+        connections: 660,
     };
     Config::new(Version(version), vec![route("r")], vec![service], CallerLimits::default())
 }
@@ -79,6 +80,7 @@
         zone: zone.parse().unwrap(),
         caller: "127.0.0.1:1".parse().unwrap(),
         peer: "127.0.0.1:2".parse().unwrap(),
+        operator: None,
     }
 }
 
--- a/foxtailctl/src/drains.rs
+++ b/foxtailctl/src/drains.rs
@@ -1,72 +1,45 @@
 //! The `drain` commands.
 
-use foxtail_config::DrainTarget;
-use foxtail_types::NameError;
-use foxtail_wire::operator::{DrainStatus, OperatorClient};
+use foxtail_config::plan::{self, Loaded};
+use foxtail_types::prelude::*;
 
-use crate::client::Client;
-use crate::exit::{Failure, allowed};
+use crate::exit::{Failure, allowed, done};
 use crate::flags::{Drain, DrainAction};
 use crate::output::Output;
-use crate::wait::until_in_force;
+use crate::site::Client;
 
 pub(crate) async fn run(cmd: &Drain, client: &Client, out: &Output) -> Result<(), Failure> {
+    let view = client.view().await?;
     if let DrainAction::Status = cmd.action {
-        return status(client, out).await;
+        out.drains(&view);
+        return Ok(());
     }
-    let target = target(cmd)?;
-    let accepted = if let DrainAction::Stop = cmd.action {
-        client.call(async |host| host.drain_stop(target.clone()).await).await?
-    } else {
-        let planned = client.call(async |host| host.drain_plan(target.clone()).await).await?;
+    let zone = zone(cmd)?;
+    let on = !matches!(cmd.action, DrainAction::Stop);
+    if on {
+        let demand = view.demand(None);
+        let loaded = Loaded { cfg: &view.cfg, demand: &demand };
+        let plan = plan::evacuation(&zone, loaded, &view.site);
         if let DrainAction::Plan = cmd.action {
-            out.plan(&planned);
-            return allowed(&planned.plan);
+            out.plan(&plan);
+            return allowed(&plan);
         }
-        out.preview(&planned);
-        allowed(&planned.plan)?;
-        client.call(async |host| host.drain_start(target.clone()).await).await?
-    };
-    until_in_force(&accepted, cmd.wait, client, out).await
-}
-
-/// Asks every host, since each knows its own requests alone.
-async fn status(client: &Client, out: &Output) -> Result<(), Failure> {
-    let mut drains = client.call(async |host| host.drain_status().await).await?;
-    drains.iter_mut().for_each(|drain| drain.in_flight = 0);
-    let status = client.call(async |host| host.status().await).await?;
-    for host in &status.hosts {
-        let one = client.at(host.operator)?;
-        match one.call(async |host| host.drain_status().await).await {
-            Ok(theirs) => add(&mut drains, &theirs),
-            Err(e) => out.note(&format!("host {} did not answer: {e}", host.id)),
+        out.preview(&plan);
+        if !cmd.force {
+            allowed(&plan)?;
         }
+    } else if !view.site.evacuated.contains(&zone) {
+        return Err(Failure::NotFound(format!("zone {zone} is not drained")));
     }
-    out.drains(&drains);
+    done(client.store.evacuate(&zone, on).await.map_err(Failure::of_change)?)?;
+    let holds = |status: &foxtail_operator::Status| status.evacuated.contains(&zone) == on;
+    let version = view.cfg.version;
+    let hosts = client.until_in_force(&view.found.hosts, version, cmd.wait, holds).await?;
+    out.drained(&zone, on, hosts);
     Ok(())
 }
 
-fn add(drains: &mut [DrainStatus], theirs: &[DrainStatus]) {
-    for drain in drains {
-        let same = theirs.iter().find(|other| other.drain.target == drain.drain.target);
-        drain.in_flight += same.map_or(0, |same| same.in_flight);
-    }
-}
-
-fn target(cmd: &Drain) -> Result<DrainTarget, Failure> {
-    let (Some(kind), Some(name)) = (&cmd.kind, &cmd.name) else {
-        return Err(Failure::Usage("name what is meant, for example `zone sabah-a`".to_owned()));
-    };
-    let error = |e: NameError| Failure::Usage(e.to_string());
-    match kind.as_str() {
-        "upstream" => name.parse().map(DrainTarget::Upstream).map_err(error),
-        "zone" => name.parse().map(DrainTarget::Zone).map_err(error),
-        "region" => name.parse().map(DrainTarget::Region).map_err(error),
-        "host" => name.parse().map(DrainTarget::Host).map_err(error),
-        other => {
-            let text =
-                format!("`{other}` can't be drained; accepted: upstream, zone, region, host");
-            Err(Failure::Usage(text))
-        }
-    }
+fn zone(cmd: &Drain) -> Result<ZoneId, Failure> {
+    let name = cmd.zone.as_ref().ok_or_else(|| Failure::Usage("name the zone".to_owned()))?;
+    ZoneId::new(name).map_err(|e| Failure::Usage(e.to_string()))
 }
--- a/foxtailctl/src/exit.rs
+++ b/foxtailctl/src/exit.rs
@@ -2,8 +2,9 @@
 
 use std::process::ExitCode;
 
-use foxtail_config::Plan;
-use foxtail_sync::admin::{Error, InForce};
+use foxtail_adapter::{Applied, StoreError};
+use foxtail_config::plan::{Plan, Refusal};
+use foxtail_types::prelude::*;
 
 /// Why a call did not do what was asked.
 #[derive(Debug, thiserror::Error)]
@@ -14,20 +15,34 @@
     /// The command line, the settings or a file can't be used.
     #[error("{0}")]
     Usage(String),
-    /// A host answered that it did not do it.
+    /// The input is not accepted.
+    #[error("not accepted:\n{0}")]
+    Invalid(foxtail_config::Error),
+    /// The change would do harm.
+    #[error("refused:{}", reasons(.0))]
+    Refused(Vec<Refusal>),
+    /// There is no such thing.
     #[error("{0}")]
-    Refused(Error),
-    /// Accepted, but not in force everywhere in time.
-    #[error("{}", late(.0))]
-    Late(InForce),
-    /// No host could be reached, so that nothing was changed.
-    #[error("no host could be reached: {0}")]
-    Unreachable(String),
-    /// A host was reached, and its answer was lost.
+    NotFound(String),
+    /// Somebody else made a change first.
+    #[error("{0}")]
+    Conflict(String),
+    /// Made, but not in force everywhere in time.
+    #[error("version {version} is made, but not in force on: {}", names(.hosts))]
+    Late {
+        /// The version.
+        version: Version,
+        /// The hosts that don't have it or did not answer.
+        hosts: Vec<HostId>,
+    },
+    /// The store could not be used, so that nothing was changed.
+    #[error("{0}")]
+    Unavailable(StoreError),
+    /// The store was reached, and its answer was lost.
     #[error(
         "the answer was lost, and the change may have been made ({0}); show it before you try again"
     )]
-    Lost(String),
+    Lost(StoreError),
 }
 
 impl Failure {
@@ -35,16 +50,21 @@
         ExitCode::from(match self {
             Failure::Other(_) => 1,
             Failure::Usage(_) => 2,
-            Failure::Refused(Error::Conflict(_) | Error::NetworkMoved { .. }) => 4,
-            Failure::Refused(Error::Exists(_) | Error::Moved { .. }) => 4,
-            Failure::Refused(Error::Unavailable(_)) => 6,
-            Failure::Refused(Error::Unsettled { .. }) => 7,
-            Failure::Refused(Error::Invalid(_) | Error::Refused(_) | Error::NotFound(_)) => 3,
-            Failure::Late(_) => 5,
-            Failure::Unreachable(_) => 6,
+            Failure::Invalid(_) | Failure::Refused(_) | Failure::NotFound(_) => 3,
+            Failure::Conflict(_) => 4,
+            Failure::Late { .. } => 5,
+            Failure::Unavailable(_) => 6,
             Failure::Lost(_) => 7,
         })
     }
+
+    /// Why a change could not be made.
+    pub(crate) fn of_change(e: StoreError) -> Self {
+        match e {
+            e @ StoreError::NoAnswer(_) => Failure::Lost(e),
+            e => Failure::Unavailable(e),
+        }
+    }
 }
 
 /// Fails if the plan says that the change would be refused.
@@ -52,23 +72,24 @@
     if plan.refused.is_empty() {
         return Ok(());
     }
-    Err(Failure::Refused(Error::Refused(plan.refused.clone())))
+    Err(Failure::Refused(plan.refused.clone()))
 }
 
-fn late(got: &InForce) -> String {
-    let names = |hosts: &[foxtail_types::HostId]| {
-        hosts.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
-    };
-    let mut text =
-        format!("version {} is accepted and in force on {} hosts", got.version, got.held);
-    if !got.missing.is_empty() {
-        text += &format!("; not yet on {}", names(&got.missing));
-    }
-    if !got.unreachable.is_empty() {
-        text += &format!("; not heard from: {}", names(&got.unreachable));
+/// Fails if somebody else was first.
+pub(crate) fn done(applied: Applied) -> Result<(), Failure> {
+    match applied {
+        Applied::Done => Ok(()),
+        Applied::Conflict => Err(Failure::Conflict(
+            "somebody else changed the configuration first; nothing was changed".to_owned(),
+        )),
     }
-    if !got.limits_raised {
-        text += "; raised limits wait until every host confirms";
-    }
-    text
+}
+
+fn reasons(refused: &[Refusal]) -> String {
+    let text = |r: &Refusal| format!("\n  {}; accepted: {}", r.reason, r.accepted);
+    refused.iter().map(text).collect()
+}
+
+fn names(hosts: &[HostId]) -> String {
+    hosts.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
 }
--- a/foxtailctl/src/flags.rs
+++ b/foxtailctl/src/flags.rs
@@ -4,17 +4,6 @@
 use std::path::PathBuf;
 use std::str::FromStr;
 
-/// What to do with the network.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum NetworkAction {
-    /// Print it.
-    Show,
-    /// Show what a change would do.
-    Plan,
-    /// Change it.
-    Apply,
-}
-
 /// What to do with a drain.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum DrainAction {
@@ -28,19 +17,6 @@
     Status,
 }
 
-impl FromStr for NetworkAction {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "show" => Ok(Self::Show),
-            "plan" => Ok(Self::Plan),
-            "apply" => Ok(Self::Apply),
-            _ => Err("accepted: show, plan, apply".to_owned()),
-        }
-    }
-}
-
 impl FromStr for DrainAction {
     type Err = String;
 
@@ -56,11 +32,10 @@
 }
 
 xflags::xflags! {
-    /// Drives foxtailrouter: workspaces, network and drains.
+    /// Drives foxtailrouter: workspaces and drains.
     cmd foxtailctl {
-        /// Operator address of a host, IP:PORT. May be given several times: the next is tried when
-        /// one can't be reached.
-        repeated --host host: SocketAddr
+        /// The platform's store, IP:PORT; else the one in the settings file.
+        optional --store store: SocketAddr
         /// Settings file; else the one named by FOXTAIL_SETTINGS.
         optional --settings settings: PathBuf
         /// Print JSON.
@@ -111,39 +86,30 @@
                 optional --wait wait: u64
             }
         }
-        /// Regions, zones and links: `network show`, `network plan FILE --base N` or
-        /// `network apply FILE --base N`.
-        cmd network {
-            /// show, plan or apply.
-            required action: NetworkAction
-            /// What `network show` printed, changed.
-            optional file: PathBuf
-            /// The version that `network show` told; 0 for the first network.
-            optional --base base: u64
-            /// Seconds to wait until it is in force everywhere.
-            optional --wait wait: u64
-        }
-        /// Drains, planned stops that lose nothing: `drain plan KIND NAME`, `drain start KIND NAME`,
-        /// `drain stop KIND NAME` or `drain status`, where KIND is upstream, zone, region or host.
+        /// Drains of zones, which lose nothing: `drain plan ZONE`, `drain start ZONE`,
+        /// `drain stop ZONE` or `drain status`.
         cmd drain {
             /// plan, start, stop or status.
             required action: DrainAction
-            /// upstream, zone, region or host.
-            optional kind: String
-            /// Its name.
-            optional name: String
+            /// The zone.
+            optional zone: String
+            /// Start it even if the rest can't carry the expected load.
+            optional --force
             /// Seconds to wait until it is in force everywhere.
             optional --wait wait: u64
         }
-        /// Print the state of the site: hosts, versions and headroom.
+        /// Print the state of the site: hosts, versions, upstreams and headroom.
         cmd status {}
-        /// Print the last decisions on a request or a workspace. With logs of entry hosts, tell the
-        /// story of a request from them; no host is asked.
+        /// Check a configuration as the platform's store holds it, without a store.
+        cmd check {
+            /// The configuration, a JSON file.
+            required file: PathBuf
+        }
+        /// Tell the story of a request from the logs of hosts.
         cmd explain {
-            /// A workspace, or the identifier in an answer's x-foxtail-request header; with logs, the
-            /// identifier that the caller gave its request.
-            required what: String
-            /// A log of an entry host; `-` is standard input. May be given several times.
+            /// The identifier that the caller gave its request.
+            required request: String
+            /// A log of a host; `-` is standard input. May be given several times.
             repeated --log log: PathBuf
         }
     }
--- a/foxtailctl/src/output.rs
+++ b/foxtailctl/src/output.rs
@@ -3,14 +3,16 @@
 
 use std::time::SystemTime;
 
-use foxtail_config::headroom::{Headroom, slots_text};
-use foxtail_sync::admin::{Accepted, HistoryEntry, InForce, Planned, Shown};
+use foxtail_config::headroom::{Headroom, Room, slots_text};
+use foxtail_config::plan::Plan;
+use foxtail_steer::Config;
 use foxtail_types::prelude::*;
-use foxtail_wire::operator::{Decision, DrainStatus, Explained, Status};
 use serde::Serialize;
 use serde_json::json;
 
 use crate::exit::Failure;
+use crate::input::Kept;
+use crate::site::{Host, View};
 use crate::story::Line;
 
 /// Prints to standard output; notes and failures go to standard error.
@@ -28,10 +30,6 @@
         println!("{}", text.expect("answers are plain JSON"));
     }
 
-    pub(crate) fn note(&self, text: &str) {
-        eprintln!("{text}");
-    }
-
     /// The story of a request.
     pub(crate) fn story(&self, lines: &[Line]) {
         if self.json {
@@ -46,30 +44,29 @@
         eprintln!("foxtailctl: {failure}");
         if self.json {
             match failure {
-                Failure::Refused(e) => self.json(&json!({ "error": e })),
-                Failure::Late(got) => self.json(&json!({ "late": got })),
+                Failure::Refused(refused) => self.json(&json!({ "refused": refused })),
+                Failure::Invalid(e) => self.json(&json!({ "not_accepted": e.problems })),
                 other => self.json(&json!({ "error": other.to_string() })),
             }
         }
     }
 
     /// What a change would do; its refusal is a failure of its own.
-    pub(crate) fn plan(&self, planned: &Planned) {
+    pub(crate) fn plan(&self, plan: &Plan) {
         if self.json {
-            return self.json(planned);
+            return self.json(plan);
         }
-        self.preview(planned);
+        self.preview(plan);
     }
 
     /// The plan of a change that is about to be made.
-    pub(crate) fn preview(&self, planned: &Planned) {
+    pub(crate) fn preview(&self, plan: &Plan) {
         if self.json {
             return;
         }
-        let plan = &planned.plan;
         println!("changes:");
         if plan.changes.is_empty() {
-            println!("  nothing");
+            println!("  nothing in the input");
         }
         for change in &plan.changes {
             println!("  {change}");
@@ -81,97 +78,112 @@
         headroom(&plan.before, &plan.after, false);
     }
 
-    pub(crate) fn accepted(&self, accepted: &Accepted, got: &InForce) {
-        if self.json {
-            return self.json(&json!({ "accepted": accepted, "in_force": got }));
+    pub(crate) fn unchanged(&self, version: Version) {
+        match self.json {
+            true => self.json(&json!({ "changed": false, "config": version })),
+            false => println!("nothing to change: version {version} is in force"),
         }
-        let Accepted { version, workspace, changed } = accepted;
-        if !changed {
-            println!("nothing to change: version {version} is in force");
-            return;
-        }
-        let own = workspace.map_or_else(String::new, |own| format!(" (workspace version {own})"));
-        println!("version {version}{own} is in force on all {} hosts", got.held);
     }
 
-    pub(crate) fn history(&self, entries: &[HistoryEntry]) {
+    pub(crate) fn applied(&self, own: Version, config: Version, hosts: usize) {
         if self.json {
-            return self.json(&entries);
-        }
-        for entry in entries {
-            let HistoryEntry { version, global, at, operator, note } = entry;
-            println!("version {version}  global {global}  at {}  by {operator}  {note}", time(*at));
+            let applied = json!({ "changed": true, "workspace": own, "config": config });
+            return self.json(&applied);
         }
+        println!("version {config} (workspace version {own}) is in force on all {hosts} hosts");
     }
 
-    pub(crate) fn shown(&self, shown: &Shown) {
+    pub(crate) fn history(&self, versions: &[Kept]) {
         if self.json {
-            return self.json(shown);
+            return self.json(&versions);
         }
-        eprintln!(
-            "version {}; the network was set at version {}",
-            shown.version, shown.network_version
-        );
-        match &shown.network {
-            Some(network) => self.json(network),
-            None => eprintln!("there is no network yet"),
+        for kept in versions {
+            let Kept { version, config, at, operator, note, .. } = kept;
+            println!(
+                "version {version}  configuration {config}  {}  by {operator}  {note}",
+                time(*at)
+            );
         }
     }
 
-    pub(crate) fn drains(&self, drains: &[DrainStatus]) {
+    pub(crate) fn drains(&self, view: &View) {
         if self.json {
-            return self.json(&drains);
+            return self.json(&view.site.evacuated);
         }
-        if drains.is_empty() {
+        if view.site.evacuated.is_empty() {
             println!("no drains");
         }
-        for DrainStatus { drain, in_flight } in drains {
-            println!("{}  started {}  in flight {in_flight}", drain.target, time(drain.started));
+        for zone in &view.site.evacuated {
+            println!("zone {zone}");
         }
     }
 
-    pub(crate) fn status(&self, status: &Status) {
+    pub(crate) fn drained(&self, zone: &ZoneId, on: bool, hosts: usize) {
         if self.json {
-            return self.json(status);
-        }
-        let raised = if status.limits_raised { "" } else { ", raised limits wait" };
-        println!("version {}{raised} (seen from {})", status.version, status.host);
-        for host in &status.hosts {
-            let late = if host.version < status.version { "  BEHIND" } else { "" };
-            let silent = if host.silent { "  SILENT" } else { "" };
-            println!(
-                "  {}  {}  {:?}  version {}  busy {}.{}%{late}{silent}",
-                host.id,
-                host.zone,
-                host.phase,
-                host.version,
-                host.busy_permille / 10,
-                host.busy_permille % 10,
-            );
-        }
-        match &status.headroom {
-            Some(room) => {
-                println!("headroom under the expected load:");
-                headroom(room, room, true);
-            }
-            None => println!("headroom: unknown, the platform's store can't be read now"),
+            return self.json(&json!({ "zone": zone, "drained": on, "hosts": hosts }));
         }
+        let what = if on { "is drained" } else { "is back in use" };
+        println!("zone {zone} {what} on all {hosts} hosts");
     }
 
-    pub(crate) fn explained(&self, decisions: &[Explained]) {
+    pub(crate) fn checked(&self, cfg: &Config) {
+        let (routes, services) = (cfg.routes().len(), cfg.services().count());
         if self.json {
-            return self.json(&decisions);
-        }
-        for Explained { host, decision } in decisions {
-            let Decision { at, kind, request, service, candidates, chosen, reason, .. } = decision;
-            println!("{} {host} {kind} request={request} service={service}", time(*at));
-            println!("    chosen {chosen}: {reason}");
-            println!("    candidates {candidates}");
+            let checked = json!({ "version": cfg.version, "routes": routes, "services": services });
+            return self.json(&checked);
         }
-        if decisions.is_empty() {
-            println!("no decisions are kept on that");
+        println!("version {}: {routes} routes to {services} services", cfg.version);
+    }
+
+    pub(crate) fn status(&self, view: &View, hosts: &[Host]) {
+        let room = view.headroom();
+        if self.json {
+            let host = |host: &Host| match &host.status {
+                Ok(status) => json!(status),
+                Err(e) => json!({ "host": host.record.id, "zone": host.record.zone, "error": e }),
+            };
+            return self.json(&json!({
+                "version": view.cfg.version,
+                "evacuated": view.site.evacuated,
+                "upstreams": view.site.upstreams.len(),
+                "unreadable": view.found.unreadable,
+                "hosts": hosts.iter().map(host).collect::<Vec<_>>(),
+                "headroom": room,
+            }));
+        }
+        println!("version {}, {} upstreams", view.cfg.version, view.site.upstreams.len());
+        for zone in &view.site.evacuated {
+            println!("  zone {zone} is drained");
+        }
+        for (key, why) in &view.found.unreadable {
+            println!("  row {key} can't be read: {why}");
+        }
+        for host in hosts {
+            println!("  {}", host_line(host, view.cfg.version));
         }
+        println!("headroom under the expected load:");
+        headroom(&room, &room, true);
+    }
+}
+
+fn host_line(host: &Host, newest: Version) -> String {
+    let (id, zone) = (&host.record.id, &host.record.zone);
+    let status = match &host.status {
+        Ok(status) => status,
+        Err(e) => return format!("{id}  {zone}  SILENT  {e}"),
+    };
+    let version = status.version.map_or_else(|| "none".to_owned(), |version| version.to_string());
+    let mut line = format!(
+        "{id}  {zone}  {:?}  version {version}  {} hosts alive  {} upstreams  {} requests",
+        status.phase, status.hosts_alive, status.upstreams, status.requests,
+    );
+    if status.version < Some(newest) {
+        line += "  BEHIND";
     }
+    if status.store_lost {
+        line += "  STORE LOST";
+    }
+    line
 }
 
 fn time(at: Millis) -> String {
@@ -179,10 +191,11 @@
     humantime::format_rfc3339_millis(at).to_string()
 }
 
-/// The pools and links that change, or all.
+/// The pools that change, or all.
 fn headroom(before: &Headroom, after: &Headroom, all: bool) {
     for room in &after.pools {
-        let was = before.pools.iter().find(|was| was.pool == room.pool);
+        let same = |was: &&Room| was.service == room.service && was.region == room.region;
+        let was = before.pools.iter().find(same);
         if was == Some(room) && !all {
             continue;
         }
@@ -190,17 +203,6 @@
             format!("  (was {} of {})", slots_text(was.used_milli), was.slots)
         });
         let used = slots_text(room.used_milli);
-        println!("  {}  {used} of {} slots used{was}", room.pool, room.slots);
-    }
-    for room in &after.links {
-        let was = before.links.iter().find(|was| was.link == room.link);
-        if was == Some(room) && !all {
-            continue;
-        }
-        let was = was.filter(|was| *was != room).map_or_else(String::new, |was| {
-            format!("  (was {} of {})", was.used_kbit_per_s / 1_000, was.mbit_per_s)
-        });
-        let used = room.used_kbit_per_s / 1_000;
-        println!("  {}  {used} of {} Mbit/s used{was}", room.link, room.mbit_per_s);
+        println!("  {}/{}  {used} of {} slots used{was}", room.service, room.region, room.slots);
     }
 }
--- a/foxtailctl/src/settings.rs
+++ b/foxtailctl/src/settings.rs
@@ -1,4 +1,4 @@
-//! Where the hosts are and what proves who calls.
+//! Where the platform's store is and who calls.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -10,45 +10,36 @@
 use crate::flags::Foxtailctl;
 
 const SETTINGS_VAR: &str = "FOXTAIL_SETTINGS";
-const TOKEN_VAR: &str = "FOXTAIL_TOKEN";
 
 /// The settings of a call.
 pub(crate) struct Settings {
-    /// The operator addresses of hosts, in the order to try them.
-    pub(crate) hosts: Vec<SocketAddr>,
-    /// The credential.
-    pub(crate) token: String,
+    /// The platform's store.
+    pub(crate) store: SocketAddr,
+    /// Who calls, for the history.
+    pub(crate) operator: String,
 }
 
 #[value]
+#[derive(Default)]
 #[serde(deny_unknown_fields)]
 struct File {
     #[serde(default)]
-    hosts: Vec<SocketAddr>,
+    store: Option<SocketAddr>,
     #[serde(default)]
-    token: Option<String>,
+    operator: Option<String>,
 }
 
 impl Settings {
-    /// Takes flags first, then the environment, then the settings file.
+    /// Takes flags first, then the settings file.
     pub(crate) fn load(flags: &Foxtailctl) -> Result<Self, Failure> {
         let path =
             flags.settings.clone().or_else(|| std::env::var(SETTINGS_VAR).ok().map(PathBuf::from));
-        let file = match path {
-            Some(path) => read(&path)?,
-            None => File { hosts: Vec::new(), token: None },
-        };
-        let hosts = if flags.host.is_empty() { file.hosts } else { flags.host.clone() };
-        let token = std::env::var(TOKEN_VAR).ok().or(file.token);
-        if hosts.is_empty() {
-            return Err(Failure::Usage(
-                "name a host: --host IP:PORT, or `hosts` in the settings".to_owned(),
-            ));
-        }
-        let token = token.ok_or_else(|| {
-            Failure::Usage(format!("set {TOKEN_VAR}, or `token` in the settings"))
+        let file = path.map(|path| read(&path)).transpose()?.unwrap_or_default();
+        let store = flags.store.or(file.store).ok_or_else(|| {
+            let text = "name the store: --store IP:PORT, or `store` in the settings";
+            Failure::Usage(text.to_owned())
         })?;
-        Ok(Self { hosts, token })
+        Ok(Self { store, operator: file.operator.unwrap_or_else(|| "unnamed".to_owned()) })
     }
 }
 
--- a/foxtailctl/src/site.rs
+++ b/foxtailctl/src/site.rs
@@ -1,38 +1,143 @@
-//! The `status` and `explain` commands.
+//! The store, and the hosts registered in it.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use foxtail_adapter::{Found, Operators};
+use foxtail_config::headroom::Demand;
+use foxtail_config::plan::Loaded;
+use foxtail_config::{Headroom, Site, headroom};
+use foxtail_net::WatchedDial;
+use foxtail_operator::{OperatorClient, Status};
+use foxtail_steer::Config;
+use foxtail_steer::fleet::{Phase, Record};
 use foxtail_types::prelude::*;
-use foxtail_wire::operator::{Asked, OperatorClient};
+use futures::future::join_all;
+use jsonrpsee::http_client::HttpClientBuilder;
 
-use crate::client::Client;
 use crate::exit::Failure;
-use crate::output::Output;
+use crate::input::{Kept, NEWEST};
+use crate::settings::Settings;
+
+/// The store answers a connection within a round trip between regions; one that takes several is not
+/// there.
+const DIAL: WatchedDial =
+    WatchedDial { connect: Millis(1_000), unacknowledged: Millis(2_000), probe: Millis(1_000) };
+
+/// The longest that a host is waited for.
+const HOST_TIMEOUT: Duration = Duration::from_secs(2);
 
-pub(crate) async fn status(client: &Client, out: &Output) -> Result<(), Failure> {
-    out.status(&client.call(async |host| host.status().await).await?);
-    Ok(())
+/// How long a change is waited for if the command does not say.
+const WAIT_DEFAULT: Duration = Duration::from_secs(10);
+
+/// How often hosts are asked meanwhile.
+const ASK_EVERY: Duration = Duration::from_millis(200);
+
+/// The store, and the hosts registered in it.
+pub(crate) struct Client {
+    pub(crate) store: Operators,
+    pub(crate) settings: Settings,
 }
 
-/// Asks every host, since each knows its own decisions alone.
-pub(crate) async fn explain(what: &str, client: &Client, out: &Output) -> Result<(), Failure> {
-    let asked = asked(what)?;
-    let status = client.call(async |host| host.status().await).await?;
-    let mut found = Vec::new();
-    for host in &status.hosts {
-        let one = client.at(host.operator)?;
-        match one.call(async |host| host.explain(asked.clone()).await).await {
-            Ok(decisions) => found.extend(decisions),
-            Err(e) => out.note(&format!("host {} did not answer: {e}", host.id)),
+/// What the store holds, decoded for plans.
+pub(crate) struct View {
+    pub(crate) found: Found,
+    pub(crate) cfg: Config,
+    pub(crate) site: Site,
+    /// The newest version of each workspace.
+    pub(crate) kept: Vec<Kept>,
+}
+
+/// A host and its own word, if it gave one.
+pub(crate) struct Host {
+    pub(crate) record: Record,
+    pub(crate) status: Result<Status, String>,
+}
+
+impl Client {
+    pub(crate) fn new(settings: Settings) -> Self {
+        Self { store: Operators::new(Arc::new(DIAL), settings.store), settings }
+    }
+
+    /// Reads the store.
+    pub(crate) async fn view(&self) -> Result<View, Failure> {
+        let found = self.store.read().await.map_err(Failure::Unavailable)?;
+        let mut kept = Vec::new();
+        for (name, value) in found.notes.iter().filter(|(name, _)| name.starts_with(NEWEST)) {
+            let one =
+                serde_json::from_slice(value).with_context(|| format!("what is kept of {name}"))?;
+            kept.push(one);
+        }
+        let zones: BTreeMap<ZoneId, RegionId> =
+            found.hosts.iter().map(|host| (host.zone.clone(), host.region.clone())).collect();
+        let (upstreams, evacuated) = (found.upstreams.clone(), found.evacuated.clone());
+        let cfg = found.cfg.clone().unwrap_or_default();
+        Ok(View { found, cfg, site: Site { zones, upstreams, evacuated }, kept })
+    }
+
+    /// Asks all registered hosts how they are.
+    pub(crate) async fn hosts(&self, records: &[Record]) -> Vec<Host> {
+        join_all(
+            records
+                .iter()
+                .map(|record| async { Host { record: record.clone(), status: ask(record).await } }),
+        )
+        .await
+    }
+
+    /// Waits until `holds` for all hosts that serve.
+    pub(crate) async fn until_in_force(
+        &self,
+        records: &[Record],
+        version: Version,
+        wait: Option<u64>,
+        holds: impl Fn(&Status) -> bool,
+    ) -> Result<usize, Failure> {
+        let until = Instant::now() + wait.map_or(WAIT_DEFAULT, Duration::from_secs);
+        loop {
+            let hosts = self.hosts(records).await;
+            let late = |host: &&Host| match &host.status {
+                Ok(status) => status.phase != Phase::Leaving && !holds(status),
+                Err(_) => true,
+            };
+            let late: Vec<HostId> =
+                hosts.iter().filter(late).map(|host| host.record.id.clone()).collect();
+            if late.is_empty() {
+                return Ok(hosts.len());
+            }
+            if Instant::now() >= until {
+                return Err(Failure::Late { version, hosts: late });
+            }
+            tokio::time::sleep(ASK_EVERY).await;
         }
     }
-    found.sort_by_key(|found| found.decision.at);
-    out.explained(&found);
-    Ok(())
 }
 
-fn asked(what: &str) -> Result<Asked, Failure> {
-    if let Ok(id) = serde_json::from_value::<RequestId>(what.into()) {
-        return Ok(Asked::Request(id));
+impl View {
+    /// The newest version of `workspace`.
+    pub(crate) fn newest(&self, workspace: &WorkspaceId) -> Option<&Kept> {
+        self.kept.iter().find(|kept| kept.params.workspace == *workspace)
     }
-    let id = WorkspaceId::new(what).map_err(|e| Failure::Usage(e.to_string()))?;
-    Ok(Asked::Workspace(id))
+
+    /// The load that is expected of all workspaces but `without`.
+    pub(crate) fn demand(&self, without: Option<&WorkspaceId>) -> Vec<Demand> {
+        let counted = self.kept.iter().filter(|kept| Some(&kept.params.workspace) != without);
+        counted.flat_map(|kept| kept.demand(&self.site)).collect()
+    }
+
+    /// What the site leaves free.
+    pub(crate) fn headroom(&self) -> Headroom {
+        let demand = self.demand(None);
+        let Loaded { cfg, demand } = Loaded { cfg: &self.cfg, demand: &demand };
+        headroom::assess(cfg, demand, &self.site)
+    }
+}
+
+async fn ask(record: &Record) -> Result<Status, String> {
+    let addr = record.operator.ok_or("it has no address for operators")?;
+    let client = HttpClientBuilder::default().request_timeout(HOST_TIMEOUT);
+    let client = client.build(format!("http://{addr}")).map_err(|e| e.to_string())?;
+    client.status().await.map_err(|e| e.to_string())
 }
--- a/foxtailctl/src/workspaces.rs
+++ b/foxtailctl/src/workspaces.rs
@@ -1,84 +1,143 @@
 //! The `workspace` commands.
 
-use std::path::Path;
-
-use foxtail_config::{Params, Template};
-use foxtail_sync::admin::Input;
+use foxtail_config::plan::{self, Inputs, Loaded, Plan};
+use foxtail_config::{Part, compile};
+use foxtail_steer::Config;
+use foxtail_time::{BootClock, Clock};
 use foxtail_types::prelude::*;
-use foxtail_wire::operator::OperatorClient;
-use serde::de::DeserializeOwned;
 
-use crate::client::Client;
-use crate::exit::{Failure, allowed};
+use crate::exit::{Failure, allowed, done};
 use crate::flags::WorkspaceCmd;
+use crate::input::{Input, Kept, history, read};
 use crate::output::Output;
-use crate::wait::until_in_force;
+use crate::site::{Client, View};
+
+/// A change that is planned.
+struct Planned {
+    plan: Plan,
+    cfg: Config,
+}
 
 pub(crate) async fn run(cmd: WorkspaceCmd, client: &Client, out: &Output) -> Result<(), Failure> {
     match cmd {
         WorkspaceCmd::Create(cmd) => {
-            let template: Template = read(&cmd.template)?;
-            let params: Params = read(&cmd.params)?;
+            let (template, params) = (read(&cmd.template)?, read(&cmd.params)?);
             let input = Input { base: Version(0), template, params };
-            apply(&input, "created", cmd.wait, client, out).await
+            apply(input, "created", cmd.wait, client, out).await
         }
         WorkspaceCmd::Plan(cmd) => {
             let input: Input = read(&cmd.file)?;
-            let planned =
-                client.call(async |host| host.workspace_plan(input.clone()).await).await?;
-            out.preview(&planned);
-            allowed(&planned.plan)?;
+            let planned = planned(&client.view().await?, &input)?;
+            out.plan(&planned.plan);
             allowed(&planned.plan)
         }
         WorkspaceCmd::Apply(cmd) => {
             let note = cmd.note.unwrap_or_default();
-            apply(&read(&cmd.file)?, &note, cmd.wait, client, out).await
+            apply(read(&cmd.file)?, &note, cmd.wait, client, out).await
         }
         WorkspaceCmd::Show(cmd) => {
-            let id = name(&cmd.workspace)?;
-            out.json(&client.call(async |host| host.workspace_show(id.clone()).await).await?);
+            let view = client.view().await?;
+            let kept = newest(&view, &name(&cmd.workspace)?)?.clone();
+            let Kept { version, template, params, .. } = kept;
+            out.json(&Input { base: version, template, params });
             Ok(())
         }
         WorkspaceCmd::History(cmd) => {
-            let id = name(&cmd.workspace)?;
-            let entries =
-                client.call(async |host| host.workspace_history(id.clone()).await).await?;
-            out.history(&entries);
+            let view = client.view().await?;
+            let name = name(&cmd.workspace)?;
+            newest(&view, &name)?;
+            out.history(&versions(&view, &name)?);
             Ok(())
         }
         WorkspaceCmd::Rollback(cmd) => {
-            let id = name(&cmd.workspace)?;
-            let base = client.call(async |host| host.workspace_show(id.clone()).await).await?.base;
-            let to = Version(cmd.to);
-            let rollback = async |host: &jsonrpsee::http_client::HttpClient| {
-                host.workspace_rollback(id.clone(), to, base).await
-            };
-            let accepted = client.call(rollback).await?;
-            until_in_force(&accepted, cmd.wait, client, out).await
+            let view = client.view().await?;
+            let name = name(&cmd.workspace)?;
+            let base = newest(&view, &name)?.version;
+            let former = versions(&view, &name)?.into_iter().find(|kept| kept.version.0 == cmd.to);
+            let former = former
+                .ok_or_else(|| Failure::NotFound(format!("{name} has no version {}", cmd.to)))?;
+            let input = Input { base, template: former.template, params: former.params };
+            apply(input, &format!("back to version {}", cmd.to), cmd.wait, client, out).await
         }
     }
 }
 
 async fn apply(
-    input: &Input,
+    input: Input,
     note: &str,
     wait: Option<u64>,
     client: &Client,
     out: &Output,
 ) -> Result<(), Failure> {
-    let planned = client.call(async |host| host.workspace_plan(input.clone()).await).await?;
-    out.plan(&planned);
-    let apply = async |host: &jsonrpsee::http_client::HttpClient| {
-        host.workspace_apply(input.clone(), note.to_owned()).await
+    let view = client.view().await?;
+    let Planned { plan, cfg } = planned(&view, &input)?;
+    out.preview(&plan);
+    allowed(&plan)?;
+    if plan.changes.is_empty() {
+        out.unchanged(view.cfg.version);
+        return Ok(());
+    }
+    let kept = Kept {
+        version: input.base.next(),
+        config: cfg.version,
+        at: BootClock.wall(),
+        operator: client.settings.operator.clone(),
+        note: note.to_owned(),
+        template: input.template,
+        params: input.params,
+    };
+    let value = serde_json::to_vec(&kept).map_err(anyhow::Error::from)?;
+    let notes = kept.names().map(|name| (name, value.clone()));
+    let applied = client.store.apply(&view.found, &cfg, &notes).await;
+    done(applied.map_err(Failure::of_change)?)?;
+    let holds = |status: &foxtail_operator::Status| status.version >= Some(cfg.version);
+    let hosts = client.until_in_force(&view.found.hosts, cfg.version, wait, holds).await?;
+    out.applied(kept.version, cfg.version, hosts);
+    Ok(())
+}
+
+/// Plans what `input` does to what `view` shows.
+fn planned(view: &View, input: &Input) -> Result<Planned, Failure> {
+    let name = &input.params.workspace;
+    let old = view.newest(name);
+    let held = old.map_or(Version(0), |kept| kept.version);
+    if held != input.base {
+        return Err(Failure::Conflict(match (held.0, input.base.0) {
+            (_, 0) => format!("workspace {name} exists, at version {held}"),
+            (0, _) => format!("there is no workspace {name}"),
+            _ => format!("workspace {name} is at version {held}, not at {}", input.base),
+        }));
+    }
+    let part: Part =
+        compile(&input.template, &input.params, &view.site).map_err(Failure::Invalid)?;
+    let cfg = part.laid_over(&view.cfg, name, view.cfg.version.next());
+    let (before, mut after) = (view.demand(None), view.demand(Some(name)));
+    after.extend(part.demand.iter().cloned());
+    let inputs = Inputs {
+        old: old.map(|kept| (&kept.template, &kept.params)),
+        new: (&input.template, &input.params),
     };
-    let accepted = client.call(apply).await?;
-    until_in_force(&accepted, wait, client, out).await
+    let plan = plan::change(
+        &inputs,
+        Loaded { cfg: &view.cfg, demand: &before },
+        Loaded { cfg: &cfg, demand: &after },
+        &view.site,
+    );
+    Ok(Planned { plan, cfg })
+}
+
+fn newest<'v>(view: &'v View, name: &WorkspaceId) -> Result<&'v Kept, Failure> {
+    view.newest(name).ok_or_else(|| Failure::NotFound(format!("there is no workspace {name}")))
 }
 
-pub(crate) fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Failure> {
-    let error = |e: String| Failure::Usage(format!("{}: {e}", path.display()));
-    let text = std::fs::read_to_string(path).map_err(|e| error(e.to_string()))?;
-    serde_json::from_str(&text).map_err(|e| error(e.to_string()))
+/// All versions of a workspace, the newest first.
+fn versions(view: &View, name: &WorkspaceId) -> Result<Vec<Kept>, Failure> {
+    let prefix = history(name);
+    let kept = view.found.notes.iter().filter(|(name, _)| name.starts_with(&prefix));
+    let kept = kept.map(|(_, value)| serde_json::from_slice(value));
+    let mut versions: Vec<Kept> = kept.collect::<Result<_, _>>().map_err(anyhow::Error::from)?;
+    versions.reverse();
+    Ok(versions)
 }
 
 fn name(text: &str) -> Result<WorkspaceId, Failure> {
--- a/foxtailrouter/src/host.rs
+++ b/foxtailrouter/src/host.rs
@@ -1,46 +1,74 @@
-//! The host that takes its configuration from its own operators.
+//! The host, on the platform.
 
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use anyhow::Context;
-use foxtail_net::TcpDial;
-use foxtail_node::{Node, Ports, Settings, stop};
-use foxtail_time::BootClock;
-use tokio::signal::unix::{SignalKind, signal};
-use tracing_subscriber::layer::SubscriberExt;
-use tracing_subscriber::util::SubscriberInitExt;
-use tracing_subscriber::{EnvFilter, Registry};
+use foxtail_adapter::{HttpStore, Wire, settings_path};
+use foxtail_entry::{Node, Ports, Settings, log};
+use foxtail_net::WatchedDial;
+use foxtail_time::{BootClock, Millis};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::flags::Host;
+use crate::flags::Foxtailrouter;
+
+/// Upstreams and the store answer a connection within a round trip between regions; one that takes
+/// several is not there.
+const WATCH: WatchedDial =
+    WatchedDial { connect: Millis(400), unacknowledged: Millis(700), probe: Millis(1_000) };
+
+/// How often the settings file is looked at for changes that come without a signal.
+const LOOK_EVERY: Millis = Millis::secs(5);
 
 /// Runs the host until it is told to stop.
-pub(crate) fn run(flags: &Host) -> anyhow::Result<()> {
-    let settings = Settings::load(&flags.config)?;
+pub(crate) fn run(flags: &Foxtailrouter) -> anyhow::Result<()> {
+    let path = flags.config.clone().or_else(settings_path);
+    let path = path.context("no settings: name a file with --config")?;
+    let settings = Settings::load(&path)?;
     if flags.check {
         return Ok(());
     }
-    start_log(flags.log.as_deref())?;
-    let runtime = tokio::runtime::Runtime::new().context("no runtime")?;
-    runtime.block_on(serve(settings))
+    let guard = log::start(flags.log.as_deref().unwrap_or("info"))?;
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().build().context("no runtime")?;
+    let result = runtime.block_on(serve(settings, path));
+    drop(guard);
+    result
 }
 
-async fn serve(settings: Settings) -> anyhow::Result<()> {
+async fn serve(settings: Settings, path: PathBuf) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("no signal handler")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("no signal handler")?;
-    let ports = Ports { dial: Arc::new(TcpDial), clock: Arc::new(BootClock) };
+    let mut hangup = signal(SignalKind::hangup()).context("no signal handler")?;
+    let ports = Ports {
+        dial: Arc::new(WATCH),
+        clock: Arc::new(BootClock),
+        dialect: Arc::new(Wire),
+        store: Arc::new(HttpStore::new(Arc::new(WATCH), settings.store)),
+    };
     let node = Node::start(settings, ports).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            () = changed(&mut hangup) => reload(&node, &path),
+        }
     }
-    let report = node.stop(stop::Options::default()).await;
-    anyhow::ensure!(report.cut_off == 0, "{} requests were cut off", report.cut_off);
+    node.stop().await;
     Ok(())
 }
 
-/// Logs go to standard error, one line of key=value pairs for each event.
-fn start_log(filter: Option<&str>) -> anyhow::Result<()> {
-    let filter = EnvFilter::try_new(filter.unwrap_or("info")).context("`--log`")?;
-    let layer = tracing_logfmt::builder().layer().with_writer(std::io::stderr);
-    Registry::default().with(filter).with(layer).try_init().context("no log")
+/// Ends when the settings file may have changed.
+async fn changed(hangup: &mut Signal) {
+    tokio::select! {
+        _ = hangup.recv() => {}
+        () = tokio::time::sleep(LOOK_EVERY.duration()) => {}
+    }
+}
+
+fn reload(node: &Node, path: &Path) {
+    match Settings::load(path) {
+        Ok(settings) => node.reload(settings),
+        Err(e) => tracing::warn!(event = "settings_rejected", error = format!("{e:#}")),
+    }
 }
