fix(platform): an applied transaction answers without rows

The store answers an applied transaction with its version alone; the client wanted rows, took every registration for failed, and hosts never met.

--- /dev/null
+++ b/foxtail-lab/examples/experiment.rs
@@ -0,0 +1,24 @@
+//! Policies side by side on the same arrivals, in virtual time. `FOXTAIL_SEED` sets the seed.
+
+#![allow(clippy::print_stdout, reason = "printing is what this program does")]
+
+use foxtail_lab::model::{Policy, Setup, run};
+use foxtail_lab::shape::{fondo, tali_selamat};
+
+/// Loads, as shares of the capacity where nothing is cached, and how far the rate swings.
+const LOADS: [(f64, f64); 5] = [(0.5, 0.0), (0.8, 0.0), (1.2, 0.0), (1.8, 0.0), (1.2, 0.55)];
+
+const SEED: u64 = 7;
+
+fn main() {
+    let seed = std::env::var("FOXTAIL_SEED").ok().and_then(|text| text.parse().ok());
+    for shape in [tali_selamat(), fondo()] {
+        for (load, swing) in LOADS {
+            let setup = Setup::new(shape.clone(), load, seed.unwrap_or(SEED)).in_waves(swing);
+            println!("{}, load {:.0}%, swing {swing}", shape.params.workspace, load * 100.0);
+            for policy in Policy::ALL {
+                println!("  {:12} {}", policy.as_str(), run(&setup, policy));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-lab/src/model/figures.rs
@@ -0,0 +1,102 @@
+//! What callers got.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use foxtail_types::prelude::*;
+
+/// What a late answer is worth against one in time.
+const LATE_WORTH: f64 = 0.2;
+
+/// What callers got.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    routes: BTreeMap<String, Counts>,
+    took: Vec<u64>,
+    /// Offers to upstreams that were shed.
+    pub shed: usize,
+    /// Requests that ran outside of the region where they entered.
+    pub crossed: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    requests: usize,
+    in_time: usize,
+    late: usize,
+}
+
+impl Figures {
+    pub(super) fn request(&mut self, route: &str) {
+        self.routes.entry(route.to_owned()).or_default().requests += 1;
+    }
+
+    pub(super) fn answered(&mut self, route: &str, took: Millis, objective: Millis) {
+        let counts = self.routes.entry(route.to_owned()).or_default();
+        if took <= objective {
+            counts.in_time += 1;
+        } else {
+            counts.late += 1;
+        }
+        self.took.push(took.0);
+    }
+
+    /// All requests.
+    pub fn requests(&self) -> usize {
+        self.routes.values().map(|counts| counts.requests).sum()
+    }
+
+    /// Answers in time.
+    pub fn in_time(&self) -> usize {
+        self.routes.values().map(|counts| counts.in_time).sum()
+    }
+
+    /// What the answers are worth, where 1 is all in time.
+    pub fn worth(&self) -> f64 {
+        let total: f64 = self.routes.values().map(|c| c.worth() * c.requests as f64).sum();
+        total / self.requests().max(1) as f64
+    }
+
+    /// The route whose answers are worth least, and what they are.
+    pub fn weakest(&self) -> (&str, f64) {
+        let worth = self.routes.iter().map(|(name, counts)| (name.as_str(), counts.worth()));
+        worth.min_by(|a, b| a.1.total_cmp(&b.1)).unwrap_or(("-", 0.0))
+    }
+
+    /// The latency below which the share `q` of the answers lies.
+    pub fn latency(&self, q: f64) -> Millis {
+        let mut took = self.took.clone();
+        took.sort_unstable();
+        let at = (q * took.len().saturating_sub(1) as f64) as usize;
+        Millis(took.get(at).copied().unwrap_or(0))
+    }
+
+    /// The share of the requests that was answered.
+    pub fn served(&self) -> f64 {
+        self.took.len() as f64 / self.requests().max(1) as f64
+    }
+}
+
+impl Counts {
+    fn worth(self) -> f64 {
+        let worth = self.in_time as f64 + LATE_WORTH * self.late as f64;
+        worth / self.requests.max(1) as f64
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (weakest, worth) = self.weakest();
+        write!(
+            f,
+            "worth {:.3}, in time {:.1}%, served {:.1}%, p99 {} ms, weakest {weakest} {worth:.3}, \
+             crossed {:.1}%, shed {:.1}%",
+            self.worth(),
+            100.0 * self.in_time() as f64 / self.requests().max(1) as f64,
+            100.0 * self.served(),
+            self.latency(0.99).0,
+            100.0 * self.crossed as f64 / self.requests().max(1) as f64,
+            100.0 * self.shed as f64 / self.requests().max(1) as f64,
+        )
+    }
+}
--- a/foxtail-standin/src/store/door.rs
+++ b/foxtail-standin/src/store/door.rs
@@ -309,7 +309,7 @@
                 return status(StatusCode::GONE);
             };
             let timed_out = tokio::time::Instant::now() >= until;
-            if !page.rows.is_empty() || timed_out {
+            if page.rows.as_ref().is_some_and(|rows| !rows.is_empty()) || timed_out {
                 return json(&page);
             }
             // The time limit ends the wait as well; both lead to another look.
--- a/foxtail-standin/src/store/rows.rs
+++ b/foxtail-standin/src/store/rows.rs
@@ -55,7 +55,10 @@
 /// An answer with rows.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct Page {
-    pub(super) rows: Vec<Shown>,
+    /// Left out where a transaction was applied.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) rows: Option<Vec<Shown>>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub(super) has_more: bool,
     pub(super) row_version: u64,
     pub(super) now_s: f64,
@@ -163,13 +166,13 @@
         };
         if tx.expect.iter().any(|e| version_of(&state, &e.key) != e.row_version) {
             let rows = tx.expect.iter().map(|e| state.show(&e.key.place())).collect();
-            return Err(Refused::Conflict(self.page(&state, rows, false)));
+            return Err(Refused::Conflict(self.page(&state, Some(rows), false)));
         }
         let puts = tx.puts.into_iter().map(|put| (put.key.place(), Some(put.value)));
         let deletes = tx.deletes.into_iter().map(|key| (key.place(), None));
         state.apply(puts.chain(deletes).collect());
         self.changed.send_replace(state.version);
-        Ok(self.page(&state, Vec::new(), false))
+        Ok(self.page(&state, None, false))
     }
 
     /// The rows of `table` with keys from the first one on and before the second one; an empty
@@ -195,7 +198,7 @@
         let has_more = places.len() > limit.min(PAGE_ROWS);
         places.truncate(limit.min(PAGE_ROWS));
         let rows = places.iter().map(|place| state.show(place)).collect();
-        self.page(&state, rows, has_more)
+        self.page(&state, Some(rows), has_more)
     }
 
     /// The changes of `table` after `after`; `None` if they are not all kept.
@@ -212,7 +215,7 @@
             }
         }
         let rows = places.iter().map(|place| state.show(place)).collect();
-        Some(self.page(&state, rows, false))
+        Some(self.page(&state, Some(rows), false))
     }
 
     pub(super) fn changes(&self) -> watch::Receiver<u64> {
@@ -243,7 +246,7 @@
         state.version
     }
 
-    fn page(&self, state: &State, rows: Vec<Shown>, has_more: bool) -> Page {
+    fn page(&self, state: &State, rows: Option<Vec<Shown>>, has_more: bool) -> Page {
         let now_s = self.started.elapsed().as_secs_f64();
         Page { rows, has_more, row_version: state.version, now_s }
     }
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -343,6 +343,13 @@
         }
     }
 
+    /// Takes in the load of an upstream that somebody else told.
+    pub fn heard(&mut self, id: &UpstreamId, load: Load, now: Millis) {
+        if let Some(&at) = self.ids.get(id) {
+            self.table[at].report(load, now);
+        }
+    }
+
     /// Learns the round trip to a zone from the time that a connection took.
     pub fn connected(&mut self, zone: &ZoneId, took_ms: f64) {
         let known = self.rtt_ms.entry(zone.clone()).or_insert(took_ms);
