--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -20,6 +20,9 @@
 /// How much the last period moves the rate of requests.
 const RATE_LEARN: f64 = 0.3;
 
+/// How often registrations of hosts that are gone are looked for.
+const CLEAN_EVERY: Millis = Millis::secs(60);
+
 /// The pause before registering is tried again.
 const REGISTER_AGAIN: Millis = Millis(700);
 
@@ -100,6 +103,7 @@
     let mut rate = 0.0;
     let mut counted = cx.requests.load(Ordering::Relaxed);
     let mut at = cx.now();
+    let mut cleaned = at;
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
@@ -111,6 +115,10 @@
         }
         cx.drop_lapsed();
         let now = cx.now();
+        if now.since(cleaned) >= CLEAN_EVERY {
+            cleaned = now;
+            clean(&cx, now);
+        }
         let requests = cx.requests.load(Ordering::Relaxed);
         let span = now.since(at).as_secs_f64();
         if span > 0.0 {
@@ -132,6 +140,24 @@
     }
 }
 
+/// Takes out the registrations of hosts that are gone for good, if this host reads the store.
+fn clean(cx: &Arc<Cx>, now: Millis) {
+    let gone = {
+        let mut fleet = cx.fleet.lock();
+        if fleet.is_reader(now) { fleet.forget_gone(now) } else { Vec::new() }
+    };
+    for host in gone {
+        tracing::info!(event = "host_gone", %host);
+        let cx = Arc::clone(cx);
+        cx.tasks.clone().spawn(async move {
+            if let Err(e) = cx.store.unregister(&host).await {
+                // The next start of any host makes it known again, and it is taken out later.
+                tracing::warn!(event = "not_unregistered", %host, error = %e);
+            }
+        });
+    }
+}
+
 /// Tells all hosts of the region that the store has something new, or a request is suspected.
 async fn tell_news(cx: &Cx, socket: &UdpSocket) {
     let now = cx.now();
@@ -171,7 +197,7 @@
                     let mut fleet = cx.fleet.lock();
                     for fact in facts.facts {
                         if let crate::ports::Fact::Host(record) = fact {
-                            fleet.learn(record);
+                            fleet.learn(record, cx.now());
                         }
                     }
                     break;
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -148,7 +148,7 @@
                     self.drop_upstream(&id);
                 }
             }
-            Fact::Host(record) => self.fleet.lock().learn(record),
+            Fact::Host(record) => self.fleet.lock().learn(record, now),
             Fact::Unreadable { key, why } => {
                 tracing::warn!(event = "row_unreadable", key, why, version);
             }
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -4,7 +4,7 @@
 //! host, so that a beat reaches all within a few rounds however the digests travel; a host whose
 //! beat has not risen for a while is taken for dead.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use foxtail_macro::{id, value};
@@ -29,6 +29,10 @@
 /// reach the store miss a change.
 const READERS: usize = 2;
 
+/// A host that nobody heard of for this long is taken for gone for good, and its registration is taken
+/// out: longer than hosts are cut off or down for repair on an ordinary day.
+pub const GONE: Millis = Millis::secs(3_600);
+
 /// One in this many digests tells of the hosts of all regions, the others of the own region's only.
 const ALL_EVERY: u64 = 4;
 
@@ -114,6 +118,8 @@
 struct Peer {
     record: Record,
     beat: u64,
+    /// When its registration was first read.
+    known: Millis,
     heard: Option<Millis>,
     phase: Phase,
     rate: u16,
@@ -125,6 +131,8 @@
 pub struct Fleet {
     me: HostId,
     peers: BTreeMap<u32, Peer>,
+    /// The hosts of each region.
+    regions: BTreeMap<RegionId, BTreeSet<u32>>,
     /// Beat minus local time, fixed at the start.
     beat_offset: u64,
     versions: Versions,
@@ -146,9 +154,11 @@
     pub fn new(me: Record, now: Millis, wall: Millis) -> Self {
         let beat_offset = wall.since(now).0;
         let id = me.id.clone();
+        let regions = BTreeMap::from([(me.region.clone(), BTreeSet::from([short(&id)]))]);
         let own = Peer {
             record: me,
             beat: beat_offset + now.0,
+            known: now,
             heard: Some(now),
             phase: Phase::Starting,
             rate: 0,
@@ -157,6 +167,7 @@
         Self {
             me: id.clone(),
             peers: BTreeMap::from([(short(&id), own)]),
+            regions,
             beat_offset,
             versions: Versions::default(),
             digests: 0,
@@ -184,15 +195,22 @@
     }
 
     /// Learns of a host from its registration; it counts as alive once it is heard of.
-    pub fn learn(&mut self, record: Record) {
+    pub fn learn(&mut self, record: Record, now: Millis) {
         let key = short(&record.id);
+        let region = record.region.clone();
         match self.peers.get_mut(&key) {
-            Some(peer) if record.id != self.me => peer.record = record,
-            Some(_) => {}
+            Some(peer) if record.id != self.me => {
+                let was = std::mem::replace(&mut peer.record, record).region;
+                if was != region {
+                    self.regions.entry(was).or_default().remove(&key);
+                }
+            }
+            Some(_) => return,
             None => {
                 let peer = Peer {
                     record,
                     beat: 0,
+                    known: now,
                     heard: None,
                     phase: Phase::Starting,
                     rate: 0,
@@ -201,13 +219,37 @@
                 self.peers.insert(key, peer);
             }
         }
+        self.regions.entry(region).or_default().insert(key);
+    }
+
+    /// Forgets the hosts of this region that nobody heard of for so long that they are gone, and
+    /// returns them, so that their registrations can be taken out.
+    ///
+    /// None are while most of the region is silent: then it is this host that is cut off.
+    pub fn forget_gone(&mut self, now: Millis) -> Vec<HostId> {
+        let own = self.me().region.clone();
+        let near = || {
+            let keys = self.regions.get(&own).into_iter().flatten();
+            keys.map(|key| (*key, &self.peers[key]))
+        };
+        let silent = |peer: &Peer| !alive(peer, &own, now);
+        let (all, quiet) = (near().count(), near().filter(|(_, peer)| silent(peer)).count());
+        if quiet * 2 >= all {
+            return Vec::new();
+        }
+        let gone = |peer: &Peer| now.since(peer.heard.unwrap_or(peer.known)) > GONE;
+        let keys: Vec<u32> = near().filter(|(_, peer)| gone(peer)).map(|(key, _)| key).collect();
+        if let Some(region) = self.regions.get_mut(&own) {
+            region.retain(|key| !keys.contains(key));
+        }
+        keys.iter().filter_map(|key| self.peers.remove(key)).map(|peer| peer.record.id).collect()
     }
 
     /// Takes in a digest, and tells whether a host came up or changed its phase.
     pub fn receive(&mut self, digest: &Digest, now: Millis) -> Vec<(HostId, Phase)> {
         let mut changed = Vec::new();
         let region = self.me().region.clone();
-        self.learn(digest.from.clone());
+        self.learn(digest.from.clone(), now);
         for beat in &digest.beats {
             let Some(peer) = self.peers.get_mut(&beat.host) else { continue };
             if peer.record.id == self.me || beat.beat <= peer.beat {
@@ -334,9 +376,7 @@
     pub fn entries(&self, region: &RegionId, zone: &ZoneId, now: Millis) -> Vec<&Record> {
         let mut found = self.active(region, now);
         if found.is_empty() {
-            let regions: std::collections::BTreeSet<&RegionId> =
-                self.peers.values().map(|peer| &peer.record.region).collect();
-            found = regions.into_iter().flat_map(|region| self.active(region, now)).collect();
+            found = self.regions.keys().flat_map(|region| self.active(region, now)).collect();
         }
         found.sort_by_key(|record| record.zone != *zone);
         found.truncate(ENTRIES_MOST);
@@ -351,10 +391,9 @@
     /// The hosts of `region` that callers use.
     fn active(&self, region: &RegionId, now: Millis) -> Vec<&Record> {
         let own = &self.me().region;
-        let serving = |peer: &&Peer| {
-            peer.record.region == *region && peer.phase == Phase::Serving && alive(peer, own, now)
-        };
-        let mut hosts: Vec<&Peer> = self.peers.values().filter(serving).collect();
+        let serving = |peer: &&Peer| peer.phase == Phase::Serving && alive(peer, own, now);
+        let keys = self.regions.get(region).into_iter().flatten();
+        let mut hosts: Vec<&Peer> = keys.map(|key| &self.peers[key]).filter(serving).collect();
         let rate: f64 = hosts.iter().map(|peer| f64::from(peer.rate)).sum();
         let wanted = ((rate / HOST_RATE).ceil() as usize).max(ENTRIES_LEAST);
         let key = rendezvous::digest(region.as_str());
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -347,3 +347,21 @@
     assert_eq!(told.len(), 44);
     assert!(!fleets[2].tells_on(addr(1)), "what one host of a region told, all were told");
 }
+
+#[test]
+fn registrations_of_hosts_that_are_gone_for_good_are_found_but_not_by_a_host_that_is_cut_off() {
+    let hour = foxtail_steer::fleet::GONE;
+    let names = ["h1", "h2", "h3"];
+    let mut fleets: Vec<Fleet> = names.iter().map(|name| fleet(name, "a1", Millis(0))).collect();
+    fleets[0].learn(record("dead", "a2"), Millis(0));
+    fleets[0].learn(record("far", "b1"), Millis(0));
+    meet(&mut fleets, Millis(1_000));
+    assert!(fleets[0].forget_gone(Millis(1_100)).is_empty(), "it may still come");
+    let late = hour + Millis(2_000);
+    assert!(fleets[0].forget_gone(late).is_empty(), "nobody is heard of: it is cut off itself");
+    meet(&mut fleets, late);
+    let gone: Vec<String> = fleets[0].forget_gone(late).iter().map(ToString::to_string).collect();
+    assert_eq!(gone, ["dead"], "those of other regions are theirs to find");
+    assert!(fleets[0].forget_gone(late).is_empty());
+    assert_eq!(fleets[0].registered(), 4);
+}
