--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -110,7 +110,7 @@
     let held = Held::new(cx, body.len() as u64);
     let print = fingerprint(caller, &head, &body);
     if let Some(barred) = cx.suspects.lock().barred_for(print, arrived) {
-        let refusal = Refusal::not_run(Reason::Convicted, barred);
+        let refusal = Refusal::not_run(Reason::CrashedUpstreams, barred);
         tracing::info!(event = "barred", request = call.id, fingerprint = %print);
         story.refused(cx, "-", &refusal, None);
         return Err(refusal);
@@ -243,7 +243,7 @@
             Tried::MayHaveRun(ended) => {
                 tries.note(ended, true);
                 if ended == Ended::Broken && story.struck(cx, print, &up) {
-                    break tries.give_up(Reason::Convicted, SHED_AFTER);
+                    break tries.give_up(Reason::CrashedUpstreams, SHED_AFTER);
                 }
             }
         }
--- a/foxtail-types/src/id.rs
+++ b/foxtail-types/src/id.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use foxtail_macro::{id, name, value};
+use foxtail_macro::{id, name};
 use foxtail_time::Millis;
 use serde::{Deserialize, Deserializer};
 use uuid::Uuid;
@@ -92,44 +92,11 @@
 #[serde(transparent)]
 pub struct Version(pub u64);
 
-/// The term of an owner: each new owner of a resource has a higher one.
-#[id]
-#[derive(Default)]
-#[serde(transparent)]
-pub struct Epoch(pub u64);
-
-/// One request as one host sees it, for logs and explanations.
-#[id]
-#[serde(transparent)]
-pub struct RequestId(pub Uuid);
-
 /// A caller's idempotency key: a UUIDv7, so that it carries the time of its birth.
 #[id]
 #[serde(transparent)]
 pub struct Key(Uuid);
 
-/// One direction of the link between two regions.
-#[value]
-#[derive(Hash, PartialOrd, Ord)]
-pub struct LinkId {
-    /// The sending region.
-    pub from: RegionId,
-    /// The receiving region.
-    pub to: RegionId,
-}
-
-/// The upstreams of one service in one region: what an owner hands out slots of.
-#[value]
-#[derive(Hash, PartialOrd, Ord)]
-pub struct PoolId {
-    /// The workspace.
-    pub workspace: WorkspaceId,
-    /// The service.
-    pub service: ServiceId,
-    /// The region of the upstreams.
-    pub region: RegionId,
-}
-
 impl Version {
     /// The version after this one.
     pub const fn next(self) -> Self {
@@ -137,26 +104,7 @@
     }
 }
 
-impl Epoch {
-    /// The epoch after this one.
-    pub const fn next(self) -> Self {
-        Epoch(self.0 + 1)
-    }
-}
-
-impl RequestId {
-    /// A fresh identifier.
-    pub fn fresh() -> Self {
-        RequestId(Uuid::now_v7())
-    }
-}
-
 impl Key {
-    /// A fresh key, as a caller makes one.
-    pub fn fresh() -> Self {
-        Key(Uuid::now_v7())
-    }
-
     /// The time of birth, since the Unix epoch.
     pub fn born(self) -> Millis {
         let (secs, nanos) = self.0.get_timestamp().map_or((0, 0), |at| at.to_unix());
@@ -182,36 +130,12 @@
     }
 }
 
-impl fmt::Display for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.simple().fmt(f)
-    }
-}
-
 impl fmt::Display for Version {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
     }
 }
 
-impl fmt::Display for Epoch {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl fmt::Display for LinkId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}>{}", self.from, self.to)
-    }
-}
-
-impl fmt::Display for PoolId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.workspace, self.service, self.region)
-    }
-}
-
 fn check_name(text: &str) -> Result<(), NameError> {
     let body = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
     let starts = text.bytes().next().is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit());
--- a/foxtail-types/src/outcome.rs
+++ b/foxtail-types/src/outcome.rs
@@ -1,31 +1,6 @@
-//! What a caller is told about its request.
+//! What a caller is told about a request that got no upstream's answer.
 
-use foxtail_macro::{id, value};
-use foxtail_time::Millis;
-
-/// The outcome of a request that ended without an upstream's answer.
-#[value]
-pub enum Outcome {
-    /// The request did not run, and this is proved. It may be sent again after `retry_after`.
-    NotRun {
-        /// Why it did not run.
-        reason: Reason,
-        /// When to come back.
-        retry_after: Millis,
-    },
-    /// The request may have run. Asking again with the same key gets the recorded outcome.
-    Unknown {
-        /// Why nothing is known.
-        reason: Reason,
-        /// When to ask again.
-        retry_after: Millis,
-    },
-    /// The request is wrong or not allowed, did not run, and will not run if sent again unchanged.
-    Refused {
-        /// Why it was refused.
-        reason: Reason,
-    },
-}
+use foxtail_macro::id;
 
 /// Why a request ended the way it did. The names are part of the interface to callers.
 #[id]
@@ -41,8 +16,6 @@
     DeadlinePassed,
     /// Every slot is taken and the queue is full or too slow for the deadline.
     Overloaded,
-    /// The link to the other region, or the shift cap, has no room.
-    NoHeadroom,
     /// No upstream may take new work.
     NoUpstream,
     /// The upstream did not take the connection, shed the request or was leaving.
@@ -57,14 +30,10 @@
     KeyReused,
     /// The same key is being run now.
     KeyInFlight,
-    /// The request ran, and its answer was too large to be kept for replay.
-    AnswerNotKept,
     /// The platform's store did not answer in time.
     StoreUnavailable,
     /// The request crashed upstreams before.
-    Convicted,
-    /// The host is stopping.
-    Stopping,
+    CrashedUpstreams,
     /// The host has no configuration yet.
     NotReady,
 }
@@ -78,7 +47,6 @@
             Reason::UnknownService => "unknown-service",
             Reason::DeadlinePassed => "deadline-passed",
             Reason::Overloaded => "overloaded",
-            Reason::NoHeadroom => "no-headroom",
             Reason::NoUpstream => "no-upstream",
             Reason::UpstreamUnavailable => "upstream-unavailable",
             Reason::AnswerLost => "answer-lost",
@@ -86,10 +54,8 @@
             Reason::KeyExpired => "key-expired",
             Reason::KeyReused => "key-reused",
             Reason::KeyInFlight => "key-in-flight",
-            Reason::AnswerNotKept => "answer-not-kept",
             Reason::StoreUnavailable => "store-unavailable",
-            Reason::Convicted => "convicted",
-            Reason::Stopping => "stopping",
+            Reason::CrashedUpstreams => "crashed-upstreams",
             Reason::NotReady => "not-ready",
         }
     }
