test(soak): late store calls, spoiled settings and evacuations

Seeds from 100 on draw these as well; the first seeds keep what they drew when they failed. What runs in an evacuated zone later than 5 s after the order, at hosts in touch, is a breach.

--- a/foxtailrouter/tests/soak/check.rs
+++ b/foxtailrouter/tests/soak/check.rs
@@ -17,6 +17,9 @@
 /// A configuration is in force after this long.
 const APPLY: Duration = Duration::from_millis(2_500);
 
+/// A zone that is evacuated gets nothing more after this long.
+const EVACUATE: Duration = Duration::from_secs(5);
+
 /// Refusals that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -31,6 +34,7 @@
     seen: &'a Seen,
     upstream: &'a str,
     serves: &'static str,
+    zone: &'static str,
     left: Option<Instant>,
 }
 
@@ -52,8 +56,8 @@
         let up = &world.upstreams[*at];
         for seen in seen {
             let id = seen.headers.get("foxtailrouter-request-id").map_or("", String::as_str);
-            let arrival =
-                Arrival { seen, upstream: up.service.id(), serves: up.serves, left: up.left };
+            let (upstream, serves, zone) = (up.service.id(), up.serves, up.zone);
+            let arrival = Arrival { seen, upstream, serves, zone, left: up.left };
             arrivals.entry(id).or_default().push(arrival);
         }
     }
@@ -109,6 +113,14 @@
         {
             breach(format!("reached {} {:?} after it left", arrival.upstream, at - left));
         }
+        let emptied = world.evacuated.iter().find(|evacuation| {
+            evacuation.zone == arrival.zone
+                && one.sent > evacuation.since + EVACUATE
+                && evacuation.ended.is_none_or(|ended| at < ended)
+        });
+        if let Some(evacuation) = emptied.filter(|it| in_touch(world, it.since, at)) {
+            breach(format!("ran in {} {:?} after it", arrival.zone, at - evacuation.since));
+        }
         let newest = world.versions.iter().rev().find(|(written, _)| *written + APPLY < one.sent);
         let since = newest.map(|(written, _)| *written);
         let allowed = |(written, service): &(Instant, &str)| {
--- a/foxtailrouter/tests/soak/faults.rs
+++ b/foxtailrouter/tests/soak/faults.rs
@@ -13,6 +13,12 @@
 use crate::proxy::Mode;
 use crate::world::{Disturbed, World};
 
+/// Faults of the first seeds, and of those from [`ALL_FROM`] on. The first ones keep what they drew
+/// when they failed.
+const FIRST_FAULTS: u32 = 12;
+const ALL_FAULTS: u32 = 15;
+const ALL_FROM: u64 = 100;
+
 /// At most this many hosts are down or paused at a time.
 const HOSTS_HIT_MOST: usize = 3;
 
@@ -27,15 +33,18 @@
     Door(usize),
     Proxy(usize),
     Behave(usize),
+    Settings(usize),
+    Evacuation(&'static str),
 }
 
 /// Injects faults for `span`, then undoes all of them.
 pub(crate) async fn inject(world: &mut World, seed: u64, span: Duration) {
     let mut rng = SmallRng::seed_from_u64(seed);
+    let faults = if seed >= ALL_FROM { ALL_FAULTS } else { FIRST_FAULTS };
     let end = Instant::now() + span;
     let mut undos: Vec<(Instant, Undo)> = Vec::new();
     while Instant::now() < end {
-        fault(world, &mut rng, &mut undos).await;
+        fault(world, faults, &mut rng, &mut undos).await;
         let pause = Duration::from_millis(rng.random_range(50..600));
         tokio::time::sleep(pause).await;
         let (due, later) = undos.into_iter().partition(|(at, _)| *at <= Instant::now());
@@ -53,7 +62,12 @@
     }
 }
 
-async fn fault(world: &mut World, rng: &mut SmallRng, undos: &mut Vec<(Instant, Undo)>) {
+async fn fault(
+    world: &mut World,
+    faults: u32,
+    rng: &mut SmallRng,
+    undos: &mut Vec<(Instant, Undo)>,
+) {
     let now = Instant::now();
     let lasts = Duration::from_millis(rng.random_range(200..3_000));
     let until = now + lasts;
@@ -65,7 +79,7 @@
         .iter()
         .filter(|(_, undo)| matches!(undo, Undo::Start(_) | Undo::Continue(_) | Undo::Stopped(_)));
     let may_hit = free && hit.count() < HOSTS_HIT_MOST && world.hosts[host].runs();
-    match rng.random_range(0..12) {
+    match rng.random_range(0..faults) {
         0 if may_hit => {
             world.hosts[host].kill();
             disturb(world, host, now, until);
@@ -141,6 +155,22 @@
             world.configure(service);
         }
         11 => world.store.forget(),
+        // Calls are done late, when their callers may have given up.
+        12 => {
+            world.doors[host].set_fault(Fault::Held);
+            world.disturbed.push(Disturbed { from: now, to: until });
+            undos.push((until, Undo::Door(host)));
+        }
+        13 if world.hosts[host].handles_signals() => {
+            world.hosts[host].spoil_settings();
+            world.hosts[host].signal(Signal::HUP);
+            undos.push((until, Undo::Settings(host)));
+        }
+        14 if world.evacuated.iter().all(|evacuation| evacuation.ended.is_some()) => {
+            let zone = world.upstreams[at].zone;
+            world.evacuate(zone);
+            undos.push((until, Undo::Evacuation(zone)));
+        }
         _ => {}
     }
 }
@@ -169,6 +199,11 @@
             Undo::Door(host) => world.doors[host].set_fault(Fault::None),
             Undo::Proxy(at) => world.upstreams[at].proxy.set(Mode::Pass),
             Undo::Behave(at) => world.upstreams[at].service.always(Act::Answer),
+            Undo::Settings(host) => {
+                world.hosts[host].mend_settings();
+                world.hosts[host].signal(Signal::HUP);
+            }
+            Undo::Evacuation(zone) => world.end_evacuation(zone),
         }
     }
 }
--- a/foxtailrouter/tests/soak/host.rs
+++ b/foxtailrouter/tests/soak/host.rs
@@ -41,6 +41,8 @@
     pub(crate) lookup: SocketAddr,
     pub(crate) health: SocketAddr,
     settings: PathBuf,
+    /// What stands in the settings file.
+    good: String,
     log: PathBuf,
     child: Option<Child>,
     started: Instant,
@@ -58,13 +60,16 @@
             "retry": {"ratio": 0.2, "slack": 100.0, "window_s": 10.0}, "shift_cap": 0.15,
         });
         let path = dir.join(format!("{name}.json"));
-        std::fs::write(&path, settings.to_string()).expect("settings written");
+        let good = settings.to_string();
+        std::fs::write(&path, &good).expect("settings written");
         let log = dir.join(format!("{name}.log"));
         let (caller, lookup, health) = (addr(0), addr(1), addr(2));
-        Self { caller, lookup, health, settings: path, log, child: None, started: Instant::now() }
+        let (child, started) = (None, Instant::now());
+        Self { caller, lookup, health, settings: path, good, log, child, started }
     }
 
     pub(crate) fn start(&mut self) {
+        self.mend_settings();
         let log = File::options().create(true).append(true).open(&self.log).expect("a log");
         let child = Command::new(env!("CARGO_BIN_EXE_foxtailrouter"))
             .arg("--config")
@@ -82,6 +87,15 @@
         let _ = kill_process(pid, signal);
     }
 
+    /// Writes settings that can't be used; a host that runs keeps what it has.
+    pub(crate) fn spoil_settings(&self) {
+        std::fs::write(&self.settings, "{\"host\": ").expect("settings written");
+    }
+
+    pub(crate) fn mend_settings(&self) {
+        std::fs::write(&self.settings, &self.good).expect("settings written");
+    }
+
     /// Whether the process has ended, and with which code.
     pub(crate) fn ended(&mut self) -> Option<Option<i32>> {
         let status = self.child.as_mut()?.try_wait().expect("a status")?;
--- a/foxtailrouter/tests/soak/main.rs
+++ b/foxtailrouter/tests/soak/main.rs
@@ -26,7 +26,7 @@
 const REGRESSIONS: [u64; 4] = [3, 12, 30, 31];
 
 /// Seeds of a run without settings.
-const SHORT_SEEDS: Range<u64> = 1..3;
+const SHORT_SEEDS: Range<u64> = 100..102;
 
 /// How long faults are injected in a run without settings, in seconds.
 const SHORT_SECONDS: u64 = 8;
--- a/foxtailrouter/tests/soak/world.rs
+++ b/foxtailrouter/tests/soak/world.rs
@@ -38,6 +38,13 @@
     pub(crate) to: Instant,
 }
 
+/// A zone that was evacuated, and until when.
+pub(crate) struct Evacuation {
+    pub(crate) zone: &'static str,
+    pub(crate) since: Instant,
+    pub(crate) ended: Option<Instant>,
+}
+
 pub(crate) struct World {
     pub(crate) dir: PathBuf,
     pub(crate) store: Arc<Store>,
@@ -46,6 +53,7 @@
     pub(crate) upstreams: Vec<Upstream>,
     /// Versions of the configuration: when each was written, and the service it names.
     pub(crate) versions: Vec<(Instant, &'static str)>,
+    pub(crate) evacuated: Vec<Evacuation>,
     pub(crate) disturbed: Vec<Disturbed>,
     /// Which hosts were killed or paused, and when.
     pub(crate) hit: Vec<(usize, Disturbed)>,
@@ -68,6 +76,7 @@
             hosts: Vec::new(),
             upstreams: Vec::new(),
             versions: Vec::new(),
+            evacuated: Vec::new(),
             disturbed: Vec::new(),
             hit: Vec::new(),
             breaches: Vec::new(),
@@ -108,6 +117,18 @@
         self.versions.push((Instant::now(), service));
     }
 
+    pub(crate) fn evacuate(&mut self, zone: &'static str) {
+        self.store.put("op", &format!("evacuate/{zone}"), b"{}");
+        self.evacuated.push(Evacuation { zone, since: Instant::now(), ended: None });
+    }
+
+    pub(crate) fn end_evacuation(&mut self, zone: &'static str) {
+        for evacuation in self.evacuated.iter_mut().filter(|it| it.zone == zone) {
+            evacuation.ended.get_or_insert(Instant::now());
+        }
+        self.store.drop_row("op", &format!("evacuate/{zone}"));
+    }
+
     /// Starts an upstream and registers it.
     pub(crate) async fn add_upstream(&mut self, serves: &'static str, zone: &'static str) {
         self.named += 1;
