--- a/foxtailrouter/src/host.rs
+++ b/foxtailrouter/src/host.rs
@@ -20,26 +20,45 @@
 /// How often the settings file is looked at for changes that come without a signal.
 const LOOK_EVERY: Millis = Millis::secs(5);
 
+/// The signals that the process acts on.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> anyhow::Result<Self> {
+        let handler = |kind| signal(kind).context("no signal handler");
+        Ok(Self {
+            terminate: handler(SignalKind::terminate())?,
+            interrupt: handler(SignalKind::interrupt())?,
+            hangup: handler(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Runs the host until it is told to stop.
 pub(crate) fn run(flags: &Foxtailrouter) -> anyhow::Result<()> {
     let path = flags.config.clone().or_else(settings_path);
     let path = path.context("no settings: name a file with --config")?;
-    let settings = Settings::load(&path)?;
     if flags.check {
-        return Ok(());
+        return Settings::load(&path).map(|_| ());
     }
-    let guard = log::start(flags.log.as_deref().unwrap_or("info"))?;
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().build().context("no runtime")?;
-    let result = runtime.block_on(serve(settings, path));
-    drop(guard);
-    result
+    runtime.block_on(async {
+        // Before anything else: a signal without a handler ends the process.
+        let signals = Signals::new()?;
+        let settings = Settings::load(&path)?;
+        let guard = log::start(flags.log.as_deref().unwrap_or("info"))?;
+        let served = serve(settings, path, signals).await;
+        drop(guard);
+        served
+    })
 }
 
-async fn serve(settings: Settings, path: PathBuf) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("no signal handler")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("no signal handler")?;
-    let mut hangup = signal(SignalKind::hangup()).context("no signal handler")?;
+async fn serve(settings: Settings, path: PathBuf, mut signals: Signals) -> anyhow::Result<()> {
     let ports = Ports {
         dial: Arc::new(WATCH),
         clock: Arc::new(BootClock),
@@ -49,9 +68,9 @@
     let node = Node::start(settings, ports).await?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            () = changed(&mut hangup) => reload(&node, &path),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            () = changed(&mut signals.hangup) => reload(&node, &path),
         }
     }
     node.stop().await;
