--- a/foxtail-entry/tests/serving.rs
+++ b/foxtail-entry/tests/serving.rs
@@ -199,3 +199,44 @@
     near.stop().await;
     far.stop().await;
 }
+
+#[tokio::test]
+async fn a_head_that_never_ends_is_given_up_and_reaches_no_upstream() {
+    let world = World::new();
+    let config = foxtail_standin::store::config(7, "books", 2.0);
+    let short = config.replace(r#""header_timeout_s":3"#, r#""header_timeout_s":1"#);
+    let short = short.replace(r#""idle_timeout_s":15"#, r#""idle_timeout_s":1"#);
+    assert_ne!(config, short);
+    world.store.put("op", "config", short.as_bytes());
+    let up = world.upstream("up-1", "a1").await;
+    let door = world.door().await;
+    let node = world.ready_host("h-1", "a1", &door).await;
+    let mut stream = tokio::net::TcpStream::connect(node.settings().caller).await.unwrap();
+    let began = std::time::Instant::now();
+    let whole = request("GET", "/read/1", "slow", 1_500, "");
+    let got = common::talk(&mut stream, &whole[..whole.len() - 4]).await;
+    assert!(got.status == 0 || got.status == 408, "{got:?}");
+    assert!(began.elapsed() < std::time::Duration::from_secs(4), "{:?}", began.elapsed());
+    assert!(up.seen().is_empty());
+    node.stop().await;
+}
+
+#[tokio::test]
+async fn a_caller_that_closes_its_half_has_left() {
+    use tokio::io::AsyncWriteExt;
+
+    let world = World::new();
+    world.configure(7);
+    let up = world.upstream("up-1", "a1").await;
+    up.set_work(std::time::Duration::from_secs(1));
+    let door = world.door().await;
+    let node = world.ready_host("h-1", "a1", &door).await;
+    let mut stream = tokio::net::TcpStream::connect(node.settings().caller).await.unwrap();
+    let text = request("POST", "/write/1", "half", 1_500, "");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    common::until("the upstream has it", async || !up.seen().is_empty()).await;
+    stream.shutdown().await.unwrap();
+    common::until("it is cancelled", async || up.cancelled() == 1).await;
+    assert_eq!(up.runs(), 1, "it was not sent again");
+    node.stop().await;
+}
