--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -87,9 +87,10 @@
     let mut suspects = cx.suspects.lock();
     for strike in &digest.strikes {
         let Some(strikes) = suspects.learn(strike, now) else { continue };
-        tracing::info!(event = "suspect", fingerprint = %strike.request, strikes,
-            heard_from = %digest.from.id, age_ms = strike.age.0);
+        // The host that met a first strike has logged it, and it changes nothing here.
         if strikes >= STRIKES_TOLD_AT_ONCE {
+            tracing::info!(event = "suspect", fingerprint = %strike.request, strikes,
+                heard_from = %digest.from.id, age_ms = strike.age.0);
             cx.news.notify_one();
         }
     }
