--- a/foxtail-config/src/plan.rs
+++ b/foxtail-config/src/plan.rs
@@ -53,7 +53,7 @@
     changes.extend(diff::diff(inputs.old.map(|(_, p)| p), Some(inputs.new.1)));
     let (before, after) = (assess(old.cfg, old.demand, site), assess(new.cfg, new.demand, site));
     let mut refused = overloads(&before, &after, "less expected load, or more upstreams first");
-    refused.extend(collisions(new.cfg));
+    refused.extend(collision(new.cfg));
     Plan { changes, before, after, refused }
 }
 
@@ -97,16 +97,9 @@
         .collect()
 }
 
-/// Two routes with one host and prefix: requests could go to only one of them.
-fn collisions(cfg: &Config) -> Option<Refusal> {
-    let routes = cfg.routes();
-    let twice = routes.iter().enumerate().find_map(|(at, route)| {
-        let same = |other: &&foxtail_steer::Route| {
-            other.host == route.host && other.prefix == route.prefix
-        };
-        routes[..at].iter().find(same).map(|other| (other, route))
-    });
-    twice.map(|(one, other)| Refusal {
+/// Two routes with one host and prefix, if there are such.
+fn collision(cfg: &Config) -> Option<Refusal> {
+    cfg.collision().map(|(one, other)| Refusal {
         reason: format!("routes {} and {} have one host and prefix", one.name, other.name),
         accepted: "another host name".to_owned(),
     })
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -78,7 +78,7 @@
         digest.reply.then(|| fleet.digest(now, false))
     };
     if let Some(reply) = reply {
-        send(cx, socket, reply, digest.from.peer).await;
+        send(cx, socket, reply, [digest.from.peer]).await;
     }
 }
 
@@ -136,7 +136,7 @@
             (near, far.map(|to| (fleet.digest_for_others(now), *to)))
         };
         for (digest, to) in near.into_iter().chain(far) {
-            send(&cx, &socket, digest, to).await;
+            send(&cx, &socket, digest, [to]).await;
         }
     }
 }
@@ -166,9 +166,7 @@
         let mut fleet = cx.fleet.lock();
         (fleet.word(now), fleet.targets().0)
     };
-    for to in near {
-        send(cx, socket, word.clone(), to).await;
-    }
+    send(cx, socket, word, near).await;
 }
 
 /// Tells all hosts at once how far this one is.
@@ -179,9 +177,7 @@
         let (near, far) = fleet.targets();
         (fleet.digest(now, reply), near, far)
     };
-    for to in near.into_iter().chain(far) {
-        send(cx, socket, digest.clone(), to).await;
-    }
+    send(cx, socket, digest, near.into_iter().chain(far)).await;
 }
 
 /// Registers the host and greets those that registered before it.
@@ -225,7 +221,13 @@
     announce(cx, socket, false).await;
 }
 
-async fn send(cx: &Cx, socket: &UdpSocket, mut digest: Digest, to: SocketAddr) {
+/// Sends `digest`, with the requests that are suspected, to each of `targets`.
+async fn send(
+    cx: &Cx,
+    socket: &UdpSocket,
+    mut digest: Digest,
+    targets: impl IntoIterator<Item = SocketAddr>,
+) {
     digest.strikes = cx.suspects.lock().to_tell(cx.now());
     let bytes = match postcard::to_stdvec(&digest) {
         Ok(bytes) => bytes,
@@ -234,7 +236,9 @@
             return;
         }
     };
-    if let Err(e) = socket.send_to(&bytes, to).await {
-        tracing::debug!(event = "digest_not_sent", %to, error = %e);
+    for to in targets {
+        if let Err(e) = socket.send_to(&bytes, to).await {
+            tracing::debug!(event = "digest_not_sent", %to, error = %e);
+        }
     }
 }
--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -15,7 +15,7 @@
 
 use crate::cx::Cx;
 use crate::ports::{Area, Dialect, Store};
-use crate::serve::{Serves, accept, listen};
+use crate::serve::{Serves, accept_http, listen};
 use crate::settings::Settings;
 use crate::{follow, gossip, operator, share};
 
@@ -93,7 +93,7 @@
                 _ => (&node.others, &node.cx.life.ended),
             };
             let cx = Arc::clone(&node.cx);
-            node.tasks.spawn(accept(cx, listener, serves, conns.clone(), stop.clone()));
+            node.tasks.spawn(accept_http(cx, listener, serves, conns.clone(), stop.clone()));
         }
         node.tasks.spawn(share::serve(Arc::clone(&node.cx), peers));
         node.spawn_followers();
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -120,15 +120,20 @@
     result
 }
 
+/// The host name that the caller asks for, with a port if it names one.
+fn host(head: &Parts) -> Option<&str> {
+    let named = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    named.or_else(|| head.uri.host())
+}
+
 fn find<'c>(cfg: &'c Config, head: &Parts) -> Option<&'c Route> {
-    let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = host.or_else(|| head.uri.host())?;
+    let host = host(head)?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     cfg.route(name, head.uri.path())
 }
 
 fn fingerprint(caller: IpAddr, head: &Parts, body: &[u8]) -> Fingerprint {
-    let host = head.headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let host = host(head).unwrap_or_default();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     Fingerprint::new(&caller.to_string(), head.method.as_str(), host, path, body)
 }
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -54,23 +54,16 @@
     socket.listen(BACKLOG).with_context(refused)
 }
 
-/// Accepts connections until `stop`, and spawns each into `conns`.
+/// Accepts connections until `stop`, and hands each to `take` with the address that it comes from.
 pub(crate) async fn accept(
-    cx: Arc<Cx>,
     listener: TcpListener,
     serves: Serves,
-    conns: TaskTracker,
     stop: CancellationToken,
+    take: impl Fn(TcpStream, IpAddr),
 ) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
+    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
         match accepted {
-            Ok((stream, from)) => {
-                conns.spawn(connection(Arc::clone(&cx), stream, from.ip(), serves));
-            }
+            Ok((stream, from)) => take(stream, from.ip()),
             Err(e) => {
                 tracing::warn!(event = "accept_failed", ?serves, error = %e);
                 tokio::time::sleep(ACCEPT_REST.duration()).await;
@@ -79,6 +72,20 @@
     }
 }
 
+/// Accepts connections until `stop`, and spawns the answers on each into `conns`.
+pub(crate) async fn accept_http(
+    cx: Arc<Cx>,
+    listener: TcpListener,
+    serves: Serves,
+    conns: TaskTracker,
+    stop: CancellationToken,
+) {
+    let take = |stream, from| {
+        conns.spawn(connection(Arc::clone(&cx), stream, from, serves));
+    };
+    accept(listener, serves, stop, take).await;
+}
+
 async fn connection(cx: Arc<Cx>, stream: TcpStream, from: IpAddr, serves: Serves) {
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = "no_delay_refused", error = %e);
--- a/foxtail-entry/src/settings.rs
+++ b/foxtail-entry/src/settings.rs
@@ -180,15 +180,15 @@
     /// [`map::Error`] names the first block that can't be taken.
     pub fn block_map(&self) -> Result<BlockMap, map::Error> {
         let mut sites: Vec<Site> = Vec::new();
+        let mut known: BTreeMap<(&RegionId, &Option<ZoneId>), usize> = BTreeMap::new();
         let mut blocks = Vec::with_capacity(self.blocks.len());
-        for block in &self.blocks {
-            let site = Site { region: block.region.clone(), zone: block.zone.clone() };
-            let at = sites.iter().position(|known| *known == site).unwrap_or_else(|| {
-                sites.push(site);
+        for CallerBlock { net, region, zone } in &self.blocks {
+            let at = *known.entry((region, zone)).or_insert_with(|| {
+                sites.push(Site { region: region.clone(), zone: zone.clone() });
                 sites.len() - 1
             });
             let site = u16::try_from(at).map_err(|_| map::Error::TooManySites(sites.len()))?;
-            blocks.push(Block { net: block.net, site: SiteIndex(site) });
+            blocks.push(Block { net: *net, site: SiteIndex(site) });
         }
         BlockMap::build(Version::default(), sites, &blocks)
     }
--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -14,13 +14,11 @@
 
 use crate::cx::Cx;
 use crate::ports::{Area, Facts};
+use crate::serve::{Serves, accept};
 
 /// The longest that one host is asked: several round trips between regions.
 const TIMEOUT: Millis = Millis(500);
 
-/// After a failed accept the listener rests this long.
-const ACCEPT_REST: Millis = Millis(50);
-
 /// What hosts ask of each other.
 #[tarpc::service]
 pub(crate) trait Share {
@@ -54,18 +52,10 @@
 
 /// Answers other hosts on `listener` until the host ends.
 pub(crate) async fn serve(cx: Arc<Cx>, listener: TcpListener) {
-    let ended = cx.life.ended.clone();
-    while let Some(accepted) = ended.run_until_cancelled(listener.accept()).await {
-        match accepted {
-            Ok((stream, _)) => {
-                cx.tasks.spawn(answer(Arc::clone(&cx), stream));
-            }
-            Err(e) => {
-                tracing::warn!(event = "accept_failed", serves = "hosts", error = %e);
-                tokio::time::sleep(ACCEPT_REST.duration()).await;
-            }
-        }
-    }
+    let take = |stream, _| {
+        cx.tasks.spawn(answer(Arc::clone(&cx), stream));
+    };
+    accept(listener, Serves::Hosts, cx.life.ended.clone(), take).await;
 }
 
 async fn answer(cx: Arc<Cx>, stream: TcpStream) {
--- a/foxtail-lab/examples/quickstart.rs
+++ b/foxtail-lab/examples/quickstart.rs
@@ -57,7 +57,7 @@
     let first = site.shape().zones.keys().next().context("there is no zone")?;
     let host: foxtail_types::HostId = format!("{first}-1").parse()?;
     site.stop_host(&host).await?;
-    Ok(Events { drains: vec![(zone, at)], stops: vec![host] })
+    Ok(Events { drains: vec![(zone, at)] })
 }
 
 fn setting(name: &str, default: u64) -> u64 {
--- a/foxtail-lab/src/report.rs
+++ b/foxtail-lab/src/report.rs
@@ -24,8 +24,6 @@
 pub struct Events {
     /// Zones that were drained, and when that was acknowledged.
     pub drains: Vec<(ZoneId, Instant)>,
-    /// Hosts that were stopped.
-    pub stops: Vec<HostId>,
 }
 
 /// One promise and how often it was broken.
--- a/foxtail-lab/tests/site.rs
+++ b/foxtail-lab/tests/site.rs
@@ -20,7 +20,7 @@
         let at = Instant::now();
         let host = "peninsula-a-1".parse().unwrap();
         site.stop_host(&host).await.unwrap();
-        Events { drains: vec![(zone, at)], stops: vec![host] }
+        Events { drains: vec![(zone, at)] }
     });
     let report = Report::new(&site, &sent, &events);
     assert!(sent.len() > 200, "{} sendings", sent.len());
--- a/foxtail-standin/src/caller.rs
+++ b/foxtail-standin/src/caller.rs
@@ -66,10 +66,15 @@
 
     /// Whether the answer promises that the request has not run and never will.
     pub fn promises_not_run(&self) -> bool {
-        matches!(self.status, 408 | 421 | 429 | 503)
+        promises_not_run(self.status)
     }
 }
 
+/// Whether an answer with `status` promises that the request has not run and never will.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Connects to `addr`.
 ///
 /// # Errors
--- a/foxtail-standin/src/service.rs
+++ b/foxtail-standin/src/service.rs
@@ -11,10 +11,10 @@
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+
+use crate::listener::Listener;
 
 /// What an upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,11 +70,8 @@
 
 /// A running upstream.
 pub struct Service {
-    id: String,
-    addr: SocketAddr,
+    listener: Listener,
     shared: Arc<Shared>,
-    stop: CancellationToken,
-    tasks: TaskTracker,
 }
 
 struct Shared {
@@ -106,8 +103,6 @@
     ///
     /// Whatever binding reports.
     pub async fn start(id: &str, slots: u32) -> io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
-        let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             work: Mutex::new(Work::even(Duration::from_millis(5))),
@@ -122,19 +117,19 @@
             connections: AtomicU32::new(0),
             slots,
         });
-        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        tasks.spawn(accept(listener, Arc::clone(&shared), stop.clone(), tasks.clone()));
-        Ok(Self { id: id.to_owned(), addr, shared, stop, tasks })
+        let theirs = Arc::clone(&shared);
+        let listener = Listener::open(move |stream| serve(stream, Arc::clone(&theirs))).await?;
+        Ok(Self { listener, shared })
     }
 
     /// Its identifier.
     pub fn id(&self) -> &str {
-        &self.id
+        &self.shared.id
     }
 
     /// Where it listens.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.listener.addr()
     }
 
     /// Sets how long it works on a request.
@@ -179,7 +174,7 @@
 
     /// The registration that it would write, with `state` and the seconds that it stays cold.
     pub fn registration(&self, service: &str, zone: &str, state: &str, cold_s: f64) -> Vec<u8> {
-        self.registration_at(self.addr, service, zone, state, cold_s)
+        self.registration_at(self.addr(), service, zone, state, cold_s)
     }
 
     /// The same, for an upstream that is reached at `addr`.
@@ -201,27 +196,14 @@
 
     /// Ends it at once: connections break, and the port refuses new ones.
     pub async fn crash(self) {
-        self.stop.cancel();
-        self.tasks.close();
-        self.tasks.wait().await;
+        self.listener.close().await;
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    shared: Arc<Shared>,
-    stop: CancellationToken,
-    tasks: TaskTracker,
-) {
-    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
-        let Ok((stream, _)) = accepted else { continue };
-        shared.connections.fetch_add(1, Ordering::Relaxed);
-        let (shared, stop) = (Arc::clone(&shared), stop.clone());
-        tasks.spawn(async move {
-            if let Some(Err(e)) = stop.run_until_cancelled(shared.serve(stream)).await {
-                tracing::debug!(event = "service_connection_ended", error = %e);
-            }
-        });
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    shared.connections.fetch_add(1, Ordering::Relaxed);
+    if let Err(e) = shared.serve(stream).await {
+        tracing::debug!(event = "service_connection_ended", error = %e);
     }
 }
 
--- a/foxtail-standin/src/store/door.rs
+++ b/foxtail-standin/src/store/door.rs
@@ -16,12 +16,12 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::rows::{Refused, Store};
+use crate::listener::Listener;
 use crate::rate::Bucket;
 
 /// The longest that a feed waits.
@@ -63,10 +63,8 @@
 
 /// An address of the store.
 pub struct Door {
-    addr: SocketAddr,
+    listener: Listener,
     shared: Arc<Shared>,
-    stop: CancellationToken,
-    tasks: TaskTracker,
 }
 
 struct Shared {
@@ -117,8 +115,6 @@
     }
 
     async fn open_to(store: &Arc<Store>, access: Access) -> io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
-        let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
             store: Arc::clone(store),
             access,
@@ -128,14 +124,14 @@
             counts: Mutex::default(),
             held: TaskTracker::new(),
         });
-        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        tasks.spawn(accept(listener, Arc::clone(&shared), stop.clone(), tasks.clone()));
-        Ok(Self { addr, shared, stop, tasks })
+        let theirs = Arc::clone(&shared);
+        let listener = Listener::open(move |stream| serve(stream, Arc::clone(&theirs))).await?;
+        Ok(Self { listener, shared })
     }
 
     /// Where it is.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.listener.addr()
     }
 
     /// Sets what is wrong; calls that wait are held to it once they would be answered.
@@ -169,24 +165,7 @@
 
     /// Breaks all connections and joins all tasks.
     pub async fn close(self) {
-        self.stop.cancel();
-        self.tasks.close();
-        self.tasks.wait().await;
-    }
-}
-
-async fn accept(
-    listener: TcpListener,
-    shared: Arc<Shared>,
-    stop: CancellationToken,
-    tasks: TaskTracker,
-) {
-    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
-        let Ok((stream, _)) = accepted else { continue };
-        let (shared, stop) = (Arc::clone(&shared), stop.clone());
-        tasks.spawn(async move {
-            stop.run_until_cancelled(serve(stream, shared)).await;
-        });
+        self.listener.close().await;
     }
 }
 
--- a/foxtail-steer/src/config.rs
+++ b/foxtail-steer/src/config.rs
@@ -134,6 +134,16 @@
         Self { version, routes, services, limits, by_host }
     }
 
+    /// The first route whose host and prefix another one before it has, and that other one: requests
+    /// could go to only one of them.
+    pub fn collision(&self) -> Option<(&Route, &Route)> {
+        let mut places: HashMap<(&str, &str), &Route> = HashMap::new();
+        self.routes.iter().find_map(|route| {
+            let other = places.insert((&route.host, &route.prefix), route)?;
+            Some((other, route))
+        })
+    }
+
     /// The route of `path` at `host`: the one with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let found = self.by_host.get(host)?;
--- a/foxtailrouter/tests/soak/check.rs
+++ b/foxtailrouter/tests/soak/check.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use foxtail_standin::caller::promises_not_run;
 use foxtail_standin::service::Seen;
 
 use crate::caller::{Asked, Got};
@@ -20,9 +21,6 @@
 /// A zone that is evacuated gets nothing more after this long.
 const EVACUATE: Duration = Duration::from_secs(5);
 
-/// Refusals that promise that a request has not run and never will.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
-
 /// How long requests are watched once all faults have ended.
 const CALM: Duration = Duration::from_secs(6);
 
@@ -96,7 +94,7 @@
                 breach(format!("was answered with `{body}`"));
             }
         }
-        Got::Answer(status, _) if NOT_RUN.contains(status) && !one.idempotent && runs > 0 => {
+        Got::Answer(status, _) if promises_not_run(*status) && !one.idempotent && runs > 0 => {
             breach(format!("ran and was told {status}"));
         }
         Got::Answer(status @ (400 | 404), _) => breach(format!("was told {status}")),
--- a/foxtailrouter/tests/soak/proxy.rs
+++ b/foxtailrouter/tests/soak/proxy.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foxtail_standin::listener::Listener;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 /// What the proxy does with bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,26 +25,16 @@
 pub(crate) struct Proxy {
     pub(crate) addr: SocketAddr,
     mode: Arc<Mutex<Mode>>,
-    stop: CancellationToken,
-    tasks: TaskTracker,
+    listener: Listener,
 }
 
 impl Proxy {
     pub(crate) async fn start(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = listener.local_addr().expect("bound");
         let mode = Arc::new(Mutex::new(Mode::Pass));
-        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        let (theirs, ended, spawned) = (Arc::clone(&mode), stop.clone(), tasks.clone());
-        tasks.spawn(async move {
-            while let Some(Ok((stream, _))) = ended.run_until_cancelled(listener.accept()).await {
-                let (mode, ended) = (Arc::clone(&theirs), ended.clone());
-                spawned.spawn(async move {
-                    ended.run_until_cancelled(relay(stream, to, mode)).await;
-                });
-            }
-        });
-        Self { addr, mode, stop, tasks }
+        let theirs = Arc::clone(&mode);
+        let listener = Listener::open(move |stream| relay(stream, to, Arc::clone(&theirs)));
+        let listener = listener.await.expect("a port");
+        Self { addr: listener.addr(), mode, listener }
     }
 
     pub(crate) fn set(&self, mode: Mode) {
@@ -53,9 +42,7 @@
     }
 
     pub(crate) async fn close(&self) {
-        self.stop.cancel();
-        self.tasks.close();
-        self.tasks.wait().await;
+        self.listener.close().await;
     }
 }
 
