feat(entry): log and count the size and duration of pulls between hosts

On call could see that a pull failed, but not how large it was, how long it took, or how many pulls a host served at the same time. That is what tells a saturated link from a slow processor and from an absent host.

A pull of 16 KB or more is one line at each end (pulled, pull_served with at_once); a failed one names the bytes that arrived and its duration; all are counted in pull_duration_seconds and pull_bytes_total.

Callers meet no change from this commit.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -43,6 +43,8 @@
     pub(crate) requests: AtomicU64,
     /// The total size of request bodies in memory, in bytes.
     pub(crate) buffered_body_bytes: AtomicU64,
+    /// The number of other hosts' pulls that are being served.
+    pub(crate) pulls_served: AtomicU64,
 }
 
 /// The host's progress through start and graceful shutdown.
@@ -80,6 +82,7 @@
             lifecycle: Lifecycle::default(),
             requests: AtomicU64::new(0),
             buffered_body_bytes: AtomicU64::new(0),
+            pulls_served: AtomicU64::new(0),
         }
     }
 
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -18,6 +18,8 @@
     attempts: Histogram<f64>,
     store: Histogram<f64>,
     store_facts: Counter<u64>,
+    pulls: Histogram<f64>,
+    pull_bytes: Counter<u64>,
     connects: Counter<u64>,
     lookups: Counter<u64>,
     digests: Counter<u64>,
@@ -43,6 +45,8 @@
             attempts: seconds("attempt_duration_seconds", "from sending to an upstream's answer"),
             store: seconds("store_call_duration_seconds", "calls to the platform's store"),
             store_facts: meter.u64_counter("store_facts_total").build(),
+            pulls: seconds("pull_duration_seconds", "transfers of store facts between hosts"),
+            pull_bytes: meter.u64_counter("pull_bytes_total").build(),
             connects: meter.u64_counter("upstream_connects_total").build(),
             lookups: meter.u64_counter("lookups_total").build(),
             digests: meter.u64_counter("digests_received_total").build(),
@@ -80,6 +84,13 @@
         self.store_facts.add(facts as u64, &labels[..1]);
     }
 
+    /// Records a transfer of store facts from another host, or to one if `outcome` is `served`.
+    pub(crate) fn record_pull(&self, outcome: &'static str, bytes: u64, took: Millis) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.pulls.record(took.as_secs_f64(), &labels);
+        self.pull_bytes.add(bytes, &labels);
+    }
+
     pub(crate) fn record_connect(&self, outcome: &'static str) {
         self.connects.add(1, &[KeyValue::new("outcome", outcome)]);
     }
--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -1,7 +1,8 @@
 //! Pulls store facts from other hosts and serves them to other hosts.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 use foxtail_net::Dial;
@@ -11,6 +12,7 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::io::{InspectReader, InspectWriter};
 
 use crate::context::HostContext;
 use crate::ports::{Area, Facts};
@@ -19,6 +21,10 @@
 /// The timeout of one pull: several round trips between regions.
 const PULL_TIMEOUT: Millis = Millis(500);
 
+/// Size from which a completed transfer of facts is logged, in bytes. Smaller ones are frequent and
+/// cost little.
+const LOGGED_TRANSFER_BYTES: u64 = 16 * 1024;
+
 /// The RPC interface between hosts.
 #[tarpc::service]
 pub(crate) trait Share {
@@ -55,17 +61,36 @@
 
 /// Serves other hosts' pulls on `listener` until the host ends.
 pub(crate) async fn serve(cx: Arc<HostContext>, listener: TcpListener) {
-    let on_conn = |stream, _| {
-        cx.tasks.spawn(serve_connection(Arc::clone(&cx), stream));
+    let on_conn = |stream, from| {
+        cx.tasks.spawn(serve_connection(Arc::clone(&cx), stream, from));
     };
     accept(listener, ListenerKind::Hosts, cx.lifecycle.ended.clone(), on_conn).await;
 }
 
-async fn serve_connection(cx: Arc<HostContext>, stream: TcpStream) {
+async fn serve_connection(cx: Arc<HostContext>, stream: TcpStream, from: IpAddr) {
     let ended = cx.lifecycle.ended.clone();
+    let started = cx.now();
+    let at_once = cx.pulls_served.fetch_add(1, Ordering::Relaxed) + 1;
+    let sent = Arc::new(AtomicU64::new(0));
+    let stream = InspectWriter::new(stream, byte_counter(&sent));
     let channel = BaseChannel::with_defaults(foxtail_frame::transport(stream));
-    let serving = channel.execute(Server { cx }.serve()).for_each(|response| response);
+    let server = Server { cx: Arc::clone(&cx) };
+    let serving = channel.execute(server.serve()).for_each(|response| response);
     ended.run_until_cancelled(serving).await;
+    cx.pulls_served.fetch_sub(1, Ordering::Relaxed);
+    let (bytes, took) = (sent.load(Ordering::Relaxed), cx.now().since(started));
+    cx.metrics.record_pull("served", bytes, took);
+    if bytes >= LOGGED_TRANSFER_BYTES {
+        tracing::info!(event = "pull_served", %from, bytes, took_ms = took.0, at_once);
+    }
+}
+
+/// Returns a callback that adds the size of each buffer to `count`.
+fn byte_counter(count: &Arc<AtomicU64>) -> impl FnMut(&[u8]) + Send + use<> {
+    let count = Arc::clone(count);
+    move |buf| {
+        count.fetch_add(buf.len() as u64, Ordering::Relaxed);
+    }
 }
 
 /// Pulls the facts of `area` that this host lacks from the host at `addr`, then from any other host
@@ -73,18 +98,27 @@
 pub(crate) async fn pull(cx: Arc<HostContext>, area: Area, mut addr: SocketAddr) {
     loop {
         let version = cx.known_version(area);
-        let request = request_facts(Arc::clone(&cx.dial), area, version, addr);
+        let started = cx.now();
+        let received = Arc::new(AtomicU64::new(0));
+        let request = request_facts(Arc::clone(&cx.dial), area, version, addr, &received);
         let request = tokio::time::timeout(PULL_TIMEOUT.duration(), request);
         let response = request.await.unwrap_or(Err(Error::TimedOut));
+        let (bytes, took) = (received.load(Ordering::Relaxed), cx.now().since(started));
+        cx.metrics.record_pull(outcome(&response), bytes, took);
         match response {
             Ok(facts) if facts.version > version => {
+                if bytes >= LOGGED_TRANSFER_BYTES {
+                    tracing::info!(event = "pulled", ?area, %addr, version = facts.version, bytes,
+                        took_ms = took.0);
+                }
                 cx.apply_facts(area, facts, false, &addr.to_string());
                 if cx.fleet.lock().should_relay(addr) {
                     cx.notify_peers.notify_one();
                 }
             }
             Ok(_) => {}
-            Err(e) => tracing::info!(event = "host_not_asked", ?area, %addr, error = %e),
+            Err(e) => tracing::info!(event = "host_not_asked", ?area, %addr, error = %e, version,
+                bytes, took_ms = took.0),
         }
         let next = {
             let mut store_replica = cx.store_replica.lock();
@@ -97,13 +131,25 @@
     }
 }
 
+/// Returns the outcome of a pull for metrics.
+fn outcome(response: &Result<Facts, Error>) -> &'static str {
+    match response {
+        Ok(_) => "done",
+        Err(Error::Unreachable(_)) => "unreachable",
+        Err(Error::NoAnswer(_)) => "no-answer",
+        Err(Error::TimedOut) => "timed-out",
+    }
+}
+
+/// Requests facts from the host at `addr`, and adds the size of what arrives to `received`.
 async fn request_facts(
     dial: Arc<dyn Dial>,
     area: Area,
     version: u64,
     addr: SocketAddr,
+    received: &Arc<AtomicU64>,
 ) -> Result<Facts, Error> {
-    let stream = dial.dial(addr).await?;
+    let stream = InspectReader::new(dial.dial(addr).await?, byte_counter(received));
     let NewClient { client, dispatch } =
         ShareClient::new(Config::default(), foxtail_frame::transport(stream));
     let mut context = tarpc::context::current();
