--- /dev/null
+++ b/foxtail-entry/tests/spreading.rs
@@ -0,0 +1,146 @@
+//! Changes of the store reach all hosts of a large region whose hosts have thin links.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{TestSite, exchange, ready, request, until};
+use foxtail_entry::Host;
+use foxtail_standin::net::{Location, Network, Options};
+use foxtail_standin::store::StoreEndpoint;
+use foxtail_time::Millis;
+use tokio::time::Instant;
+
+/// The hosts of one region of the grown sites.
+const HOSTS: usize = 47;
+
+/// The rate of most of these hosts' links, in Mbit/s.
+const UPLINK_MBIT_PER_S: u32 = 10;
+
+/// The routes that one change adds on the grown sites.
+const EXTRA_ROUTES: usize = 1_400;
+
+/// Routes that one thin link takes over half a second to carry.
+const ROUTES_OF_A_LONG_PULL: usize = 14_000;
+
+/// The time within which changes must be in force on all hosts.
+const APPLY_BOUND: Duration = Duration::from_secs(3);
+
+/// The time for which bytes may wait at a host's link before the host counts as choked.
+const CHOKED_AFTER: Millis = Millis(500);
+
+/// The hosts of one region on thin links, with the store and the only upstream.
+struct Region {
+    site: TestSite,
+    network: Arc<Network>,
+    hosts: Vec<(Host, StoreEndpoint)>,
+}
+
+impl Region {
+    async fn start(count: usize) -> Self {
+        let site = TestSite::new();
+        site.configure(7);
+        let zone_round_trip = Millis(3);
+        let client_round_trip = Millis::ZERO;
+        let network = Network::new(&[], Options { zone_round_trip, client_round_trip });
+        let mut hosts = Vec::new();
+        for n in 0..count {
+            let endpoint = site.store_endpoint().await;
+            let zone = ["a1", "a2"][n % 2];
+            let location = Location::zone(&"a".parse().unwrap(), &zone.parse().unwrap());
+            let dial = network.dial_from(location.clone());
+            let host = site.host_with_dial(&format!("h-{n}"), zone, &endpoint, dial).await;
+            let peer = host.settings().peer;
+            network.register(peer, location);
+            network.limit_uplink(peer, UPLINK_MBIT_PER_S);
+            hosts.push((host, endpoint));
+        }
+        Self { site, network, hosts }
+    }
+
+    /// Waits until all hosts are ready and know each other.
+    async fn settle(&self) {
+        for (host, _) in &self.hosts {
+            until("the host is ready", async || ready(host).await).await;
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+
+    /// Returns the names of the hosts that do not answer a request for `path` with `expected`
+    /// within [`APPLY_BOUND`] after `start`.
+    async fn late_hosts(&self, path: &str, expected: u16, start: Instant) -> Vec<String> {
+        let mut late: Vec<&Host> = self.hosts.iter().map(|(host, _)| host).collect();
+        while !late.is_empty() && start.elapsed() < APPLY_BOUND {
+            let mut still_late = Vec::new();
+            for host in late {
+                if status(host, path).await != expected {
+                    still_late.push(host);
+                }
+            }
+            late = still_late;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        late.iter().map(|host| host.settings().host.to_string()).collect()
+    }
+
+    /// Returns the longest time that bytes waited at the link of any host.
+    fn longest_wait(&self) -> Millis {
+        let peers = self.hosts.iter().map(|(host, _)| host.settings().peer);
+        let waits = peers.map(|peer| self.network.uplink_traffic(peer).max_wait);
+        waits.max().unwrap_or_default()
+    }
+
+    async fn stop(self) {
+        futures::future::join_all(self.hosts.into_iter().map(|(host, _)| host.stop())).await;
+        self.network.close().await;
+    }
+}
+
+async fn status(host: &Host, path: &str) -> u16 {
+    exchange(host.settings().caller, &request("GET", path, "probe", 1_000, "")).await.status
+}
+
+#[tokio::test]
+async fn large_configuration_reaches_a_region_without_choking_links() {
+    let region = Region::start(HOSTS).await;
+    let _up = region.site.upstream("up-1", "a1").await;
+    region.settle().await;
+    let start = Instant::now();
+    region.site.configure_with_extra_routes(12, EXTRA_ROUTES);
+    let last_route = format!("/extra-{}/1", EXTRA_ROUTES - 1);
+    let late = region.late_hosts(&last_route, 200, start).await;
+    let wait = region.longest_wait();
+    assert!(wait <= CHOKED_AFTER, "bytes waited {wait:?} at a host's link");
+    assert!(late.is_empty(), "{} of {HOSTS} hosts lack the configuration: {late:?}", late.len());
+    region.stop().await;
+}
+
+#[tokio::test]
+async fn drain_reaches_a_region_while_a_large_configuration_spreads() {
+    let region = Region::start(HOSTS).await;
+    let up = region.site.upstream("up-1", "a1").await;
+    region.settle().await;
+    region.site.configure_with_extra_routes(12, EXTRA_ROUTES);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let start = Instant::now();
+    region.site.store.put("servers", "up-1", &up.registration("books", "a1", "draining", 0.0));
+    let late = region.late_hosts("/read/1", 503, start).await;
+    let wait = region.longest_wait();
+    assert!(wait <= CHOKED_AFTER, "bytes waited {wait:?} at a host's link");
+    assert!(late.is_empty(), "{} of {HOSTS} hosts use the upstream: {late:?}", late.len());
+    region.stop().await;
+}
+
+#[tokio::test]
+async fn configuration_that_takes_longer_than_the_pull_timeout_arrives() {
+    let region = Region::start(4).await;
+    let _up = region.site.upstream("up-1", "a1").await;
+    region.settle().await;
+    let start = Instant::now();
+    region.site.configure_with_extra_routes(12, ROUTES_OF_A_LONG_PULL);
+    let last_route = format!("/extra-{}/1", ROUTES_OF_A_LONG_PULL - 1);
+    let late = region.late_hosts(&last_route, 200, start).await;
+    assert!(late.is_empty(), "{} of 4 hosts lack the configuration: {late:?}", late.len());
+    region.stop().await;
+}
--- a/foxtail-standin/src/net/dial.rs
+++ b/foxtail-standin/src/net/dial.rs
@@ -30,7 +30,8 @@
         let remote = self.network.location_of(to).unwrap_or_else(|| self.location.clone());
         let byte_counter = self.network.byte_counter(to);
         let out = self.network.path(&self.location, &remote, Arc::clone(&byte_counter));
-        let back = self.network.path(&remote, &self.location, byte_counter);
+        let mut back = self.network.path(&remote, &self.location, byte_counter);
+        back.uplink = self.network.uplink(to);
         traverse(&out).await?;
         let server = TcpDial.dial(to).await?;
         traverse(&back).await?;
--- a/foxtail-standin/src/net/link.rs
+++ b/foxtail-standin/src/net/link.rs
@@ -1,4 +1,5 @@
-//! One direction of a link between two regions: its rate, traffic counters and cut.
+//! One direction of a link between two regions, or of one server's own link: its rate, traffic
+//! counters and cut.
 
 use std::time::Duration;
 
--- a/foxtail-standin/src/net/network.rs
+++ b/foxtail-standin/src/net/network.rs
@@ -63,6 +63,7 @@
     delays: HashMap<(RegionId, RegionId), Duration>,
     locations: RwLock<HashMap<SocketAddr, Location>>,
     byte_counters: RwLock<HashMap<SocketAddr, Arc<AtomicU64>>>,
+    uplinks: RwLock<HashMap<SocketAddr, Arc<Link>>>,
     pub(crate) tasks: TaskTracker,
     pub(crate) stop: CancellationToken,
 }
@@ -72,6 +73,8 @@
 pub(crate) struct OneWayPath {
     pub(crate) delay: Duration,
     pub(crate) link: Option<Arc<Link>>,
+    /// The sender's own link, if its rate is limited.
+    pub(crate) uplink: Option<Arc<Link>>,
     pub(crate) byte_counter: Arc<AtomicU64>,
 }
 
@@ -103,6 +106,7 @@
             delays,
             locations: RwLock::default(),
             byte_counters: RwLock::default(),
+            uplinks: RwLock::default(),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
         })
@@ -114,6 +118,11 @@
         self.locations.write().insert(addr, location);
     }
 
+    /// Limits the rate at which the server at `addr` sends, over all its connections together.
+    pub fn limit_uplink(&self, addr: SocketAddr, mbit_per_s: u32) {
+        self.uplinks.write().insert(addr, Arc::new(Link::new(mbit_per_s)));
+    }
+
     /// Returns the number of bytes sent so far on connections to `addr`, both directions together.
     pub fn bytes_to(&self, addr: SocketAddr) -> u64 {
         self.byte_counters
@@ -127,6 +136,11 @@
         Arc::new(LocationDial::new(Arc::clone(self), location))
     }
 
+    /// Returns the traffic that the server at `addr` sent so far over its limited uplink.
+    pub fn uplink_traffic(&self, addr: SocketAddr) -> Traffic {
+        self.uplink(addr).map(|link| link.traffic()).unwrap_or_default()
+    }
+
     /// Cuts one direction between two regions, or restores it if `cut` is `None`.
     pub fn set_cut(&self, from: &RegionId, to: &RegionId, cut: Option<Cut>) {
         if let Some(link) = self.links.get(&(from.clone(), to.clone())) {
@@ -160,6 +174,10 @@
         Arc::clone(self.byte_counters.write().entry(addr).or_default())
     }
 
+    pub(crate) fn uplink(&self, addr: SocketAddr) -> Option<Arc<Link>> {
+        self.uplinks.read().get(&addr).cloned()
+    }
+
     pub(crate) fn location_of(&self, addr: SocketAddr) -> Option<Location> {
         self.locations.read().get(&addr).cloned()
     }
@@ -178,6 +196,7 @@
             _ => self.options.client_round_trip,
         };
         let link = self.links.get(&ends).cloned();
-        OneWayPath { delay: region_delay + local_round_trip.duration() / 2, link, byte_counter }
+        let delay = region_delay + local_round_trip.duration() / 2;
+        OneWayPath { delay, link, uplink: None, byte_counter }
     }
 }
--- a/foxtail-standin/src/net/relay.rs
+++ b/foxtail-standin/src/net/relay.rs
@@ -67,7 +67,8 @@
         let mut buf = BytesMut::with_capacity(CHUNK_BYTES);
         let n = from.read_buf(&mut buf).await?;
         path.byte_counter.fetch_add(n as u64, Ordering::Relaxed);
-        let sent = path.link.as_ref().map_or_else(Instant::now, |link| link.send(n));
+        let links = path.uplink.iter().chain(&path.link);
+        let sent = links.map(|link| link.send(n)).fold(Instant::now(), Instant::max);
         if tx.send((sent + path.delay, buf.freeze())).await.is_err() || n == 0 {
             return Ok(());
         }
