fix(entry): bound the store facts that a host sends at the same time

Callers of hosts that others pulled from got no answer for up to 3 s.

Cause: the few hosts that read the store tell their region of a change, and all others pull it from the same host: they choose the newest announcement and, of equal ones, the highest address. One host then sends 46 copies of 88 KB over its link of 1,250 KB/s, each too slow for the timeout of 500 ms. The copies are sent in vain, the pulls go on to the next host in the same order, and whatever else these hosts send waits behind the copies.

Now a host admits 3,000 rows of large pulls and as many of small ones at a time (TransferLimit), and answers the others with nothing at version 0, which also hosts of the previous build take for an answer without news. A refused host asks again after a pause, and others first; hosts prefer sources in an order of their own; a host that has pulled a large change tells eight others that it can serve it, so that sources multiply with each round.

Why it works: both classes together are 0.3 s of a thin link, less than the 0.5 s after which a host counts as choked, and drains have a class of their own.

Tests: large_configuration_reaches_a_region_without_choking_links and drain_reaches_a_region_while_a_large_configuration_spreads failed before (2.86 s of waiting bytes, allowed 0.5 s) and pass.

API: foxtail-steer's pulls tests use the queue's new steps; they check what they checked, and more.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -5,7 +5,7 @@
 
 use foxtail_net::Dial;
 use foxtail_place::BlockMap;
-use foxtail_steer::{Fleet, Steering, Suspects};
+use foxtail_steer::{Fleet, Steering, Suspects, TransferLimit};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -34,6 +34,8 @@
     pub(crate) suspects: Mutex<Suspects>,
     /// Wakes the task that informs other hosts of changes in the store or of strikes.
     pub(crate) notify_peers: Notify,
+    /// Wakes the task that informs other hosts, because this host can serve a large change to them.
+    pub(crate) announce_source: Notify,
     /// Tasks that answer other hosts, pull from them or remove registrations.
     pub(crate) tasks: TaskTracker,
     pub(crate) pool: Pool,
@@ -43,7 +45,9 @@
     pub(crate) requests: AtomicU64,
     /// The total size of request bodies in memory, in bytes.
     pub(crate) buffered_body_bytes: AtomicU64,
-    /// The number of other hosts' pulls that are being served.
+    /// The facts that are being sent to other hosts.
+    pub(crate) transfers: Mutex<TransferLimit>,
+    /// The number of connections from other hosts that pull.
     pub(crate) pulls_served: AtomicU64,
 }
 
@@ -67,14 +71,15 @@
         Self {
             steering: Mutex::new(Steering::new(settings.steering_options())),
             fleet: Mutex::new(Fleet::new(settings.record(), clock.now(), clock.wall())),
+            store_replica: Mutex::new(StoreReplica::new(&settings.host)),
             settings: Mutex::new(Arc::new(settings)),
             clock,
             protocol,
             store,
-            store_replica: Mutex::default(),
             directory: Directory::new(blocks),
             suspects: Mutex::default(),
             notify_peers: Notify::new(),
+            announce_source: Notify::new(),
             tasks: TaskTracker::new(),
             pool: Pool::new(Arc::clone(&dial)),
             dial,
@@ -82,6 +87,7 @@
             lifecycle: Lifecycle::default(),
             requests: AtomicU64::new(0),
             buffered_body_bytes: AtomicU64::new(0),
+            transfers: Mutex::default(),
             pulls_served: AtomicU64::new(0),
         }
     }
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -7,9 +7,10 @@
 use std::sync::atomic::Ordering;
 
 use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Phase};
+use foxtail_steer::pull_queue::Step;
 use foxtail_steer::suspects::MAX_STRIKES;
 use foxtail_types::prelude::*;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::net::UdpSocket;
 
 use crate::context::HostContext;
@@ -32,6 +33,11 @@
 /// strike is most often the fault of an upstream or a link, and goes out with the periodic digests.
 pub(crate) const IMMEDIATE_SHARE_STRIKES: usize = MAX_STRIKES - 1;
 
+/// The number of hosts that a host informs that it can serve a large change. With this many, nearly
+/// all hosts that lack the change hear of several sources, and a region of any size exchanges this
+/// many notices a host.
+const SOURCE_NOTICE_HOSTS: usize = 8;
+
 /// Receives digests until the host ends.
 pub(crate) async fn receive(cx: Arc<HostContext>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DIGEST_BYTES];
@@ -60,20 +66,17 @@
 async fn handle_digest(cx: &Arc<HostContext>, socket: &UdpSocket, digest: &Digest) {
     cx.metrics.count_digest();
     let versions = digest.versions;
+    let now = cx.now();
     for (area, version) in
         [(Area::Operators, versions.operators), (Area::Upstreams, versions.upstreams)]
     {
-        let next = {
-            let mut store_replica = cx.store_replica.lock();
-            store_replica.pulls(area).and_then(|(pulls, known)| {
-                pulls.record_announcement(digest.from.peer, version, known)
-            })
-        };
-        if let Some(addr) = next {
-            cx.tasks.spawn(share::pull(Arc::clone(cx), area, addr));
+        let step = cx.store_replica.lock().next_pull(area, |pulls, known| {
+            pulls.record_announcement(digest.from.peer, version, known, now)
+        });
+        if step != Step::Idle {
+            cx.tasks.spawn(share::pull(Arc::clone(cx), area, step));
         }
     }
-    let now = cx.now();
     merge_strikes(cx, digest, now);
     let reply = {
         let mut fleet = cx.fleet.lock();
@@ -118,6 +121,10 @@
                 send_update_notice(&cx, &socket).await;
                 continue;
             }
+            () = cx.announce_source.notified() => {
+                send_source_notice(&cx, &socket).await;
+                continue;
+            }
             () = cx.lifecycle.ended.cancelled() => return,
         }
         cx.remove_lapsed_upstreams();
@@ -180,6 +187,19 @@
     send_digest(cx, socket, digest, own_region).await;
 }
 
+/// Sends a short digest to a few random hosts of this host's region, because they can pull a large
+/// change from this host too.
+async fn send_source_notice(cx: &HostContext, socket: &UdpSocket) {
+    let now = cx.now();
+    let (digest, mut own_region) = {
+        let mut fleet = cx.fleet.lock();
+        (fleet.own_digest(now), fleet.digest_targets().0)
+    };
+    let (targets, _) = own_region.partial_shuffle(&mut rand::rng(), SOURCE_NOTICE_HOSTS);
+    let targets = targets.to_vec();
+    send_digest(cx, socket, digest, targets).await;
+}
+
 /// Sends a digest to all other hosts, and asks for theirs if `reply` is set.
 pub(crate) async fn announce(cx: &HostContext, socket: &UdpSocket, reply: bool) {
     let now = cx.now();
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -5,6 +5,7 @@
 
 use foxtail_steer::PullQueue;
 use foxtail_steer::fleet::Versions;
+use foxtail_steer::pull_queue::Step;
 use foxtail_types::prelude::*;
 
 use crate::context::HostContext;
@@ -16,7 +17,7 @@
 const LAPSED_GRACE: Millis = Millis(2_200);
 
 /// The host's copy of the store's areas.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StoreReplica {
     operators: AreaReplica,
     upstreams: AreaReplica,
@@ -27,6 +28,17 @@
 }
 
 impl StoreReplica {
+    /// Creates the empty copy of the host called `own`.
+    pub(crate) fn new(own: &HostId) -> Self {
+        Self {
+            operators: AreaReplica::default(),
+            upstreams: AreaReplica::default(),
+            operator_pulls: PullQueue::new(own),
+            upstream_pulls: PullQueue::new(own),
+            lapsed: BTreeMap::new(),
+        }
+    }
+
     /// Returns the copy of `area`; hosts' registrations have none.
     pub(crate) fn area(&mut self, area: Area) -> Option<&mut AreaReplica> {
         match area {
@@ -36,12 +48,17 @@
         }
     }
 
-    /// Returns the state of pulls of `area` from other hosts, and the version that this host knows.
-    pub(crate) fn pulls(&mut self, area: Area) -> Option<(&mut PullQueue, u64)> {
+    /// Calls `next` with the state of pulls of `area` from other hosts and the version that this
+    /// host knows, and returns the step that it returns.
+    pub(crate) fn next_pull(
+        &mut self,
+        area: Area,
+        next: impl FnOnce(&mut PullQueue, u64) -> Step,
+    ) -> Step {
         match area {
-            Area::Operators => Some((&mut self.operator_pulls, self.operators.version())),
-            Area::Upstreams => Some((&mut self.upstream_pulls, self.upstreams.version())),
-            Area::Hosts => None,
+            Area::Operators => next(&mut self.operator_pulls, self.operators.version()),
+            Area::Upstreams => next(&mut self.upstream_pulls, self.upstreams.version()),
+            Area::Hosts => Step::Idle,
         }
     }
 
--- a/foxtail-entry/src/ports.rs
+++ b/foxtail-entry/src/ports.rs
@@ -169,6 +169,16 @@
     },
 }
 
+impl Fact {
+    /// Returns the size of the fact, in rows: a route of a configuration counts as one.
+    pub fn rows(&self) -> usize {
+        match self {
+            Fact::Config(cfg) => cfg.routes().len(),
+            _ => 1,
+        }
+    }
+}
+
 /// An error of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
--- a/foxtail-entry/src/replica.rs
+++ b/foxtail-entry/src/replica.rs
@@ -74,13 +74,26 @@
     /// Returns the changes after `version`, or all rows if `version` is 0 or not all tombstones
     /// after it are kept.
     pub(crate) fn changes_since(&self, version: u64, now: Millis) -> Facts {
-        let whole = version == 0 || version < self.pruned_version;
-        let include = |row: &&Row| match whole {
+        let whole = self.must_send_all(version);
+        let facts = self.rows_since(version).map(|row| row.fact_at(now)).collect();
+        Facts { version: self.version, facts, whole }
+    }
+
+    /// Returns the size of [`AreaReplica::changes_since`], in rows.
+    pub(crate) fn size_since(&self, version: u64) -> usize {
+        self.rows_since(version).map(|row| row.fact.rows()).sum()
+    }
+
+    fn rows_since(&self, version: u64) -> impl Iterator<Item = &Row> {
+        let whole = self.must_send_all(version);
+        self.rows.values().filter(move |row| match whole {
             true => !is_tombstone(&row.fact),
             false => row.version > version,
-        };
-        let facts = self.rows.values().filter(include).map(|row| row.fact_at(now)).collect();
-        Facts { version: self.version, facts, whole }
+        })
+    }
+
+    fn must_send_all(&self, version: u64) -> bool {
+        version == 0 || version < self.pruned_version
     }
 
     /// Returns tombstones for all rows that are not in `facts`.
--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -6,8 +6,12 @@
 use std::time::Instant;
 
 use foxtail_net::Dial;
+use foxtail_steer::PullQueue;
+use foxtail_steer::pull_queue::{PullOutcome, Step};
+use foxtail_steer::transfer_limit::LARGE_TRANSFER_ROWS;
 use foxtail_types::prelude::*;
 use futures::StreamExt;
+use parking_lot::Mutex;
 use tarpc::client::{Config, NewClient, RpcError};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -15,7 +19,7 @@
 use tokio_util::io::{InspectReader, InspectWriter};
 
 use crate::context::HostContext;
-use crate::ports::{Area, Facts};
+use crate::ports::{Area, Fact, Facts};
 use crate::serve::{ListenerKind, accept};
 
 /// The timeout of one pull: several round trips between regions.
@@ -28,13 +32,37 @@
 /// The RPC interface between hosts.
 #[tarpc::service]
 pub(crate) trait Share {
-    /// Returns the facts of `area` after `version` that the host knows.
+    /// Returns the facts of `area` after `version` that the host knows, or none at version 0 if it
+    /// serves too many other pulls.
     async fn facts(area: Area, version: u64) -> Facts;
 }
 
+/// Serves the pulls on one connection.
 #[derive(Clone)]
 struct Server {
     cx: Arc<HostContext>,
+    /// The transfers on the connection, which end with it: until then their bytes may still wait at
+    /// this host's link.
+    transfers: Arc<Mutex<Vec<Transfer>>>,
+}
+
+/// A transfer of facts that counts in the host's limit until it is dropped.
+struct Transfer {
+    cx: Arc<HostContext>,
+    rows: usize,
+}
+
+impl Transfer {
+    /// Starts a transfer of `rows`, or returns `None` if the host serves too many others.
+    fn start(cx: &Arc<HostContext>, rows: usize) -> Option<Self> {
+        cx.transfers.lock().start(rows).then(|| Self { cx: Arc::clone(cx), rows })
+    }
+}
+
+impl Drop for Transfer {
+    fn drop(&mut self) {
+        self.cx.transfers.lock().finish(self.rows);
+    }
 }
 
 /// Why a pull from another host failed.
@@ -52,10 +80,15 @@
     async fn facts(self, _cx: Context, area: Area, version: u64) -> Facts {
         let now = self.cx.now();
         let mut store_replica = self.cx.store_replica.lock();
-        store_replica
-            .area(area)
-            .map(|replica| replica.changes_since(version, now))
-            .unwrap_or_default()
+        let Some(replica) = store_replica.area(area) else { return Facts::default() };
+        let rows = replica.size_since(version);
+        let Some(transfer) = Transfer::start(&self.cx, rows) else {
+            tracing::debug!(event = "pull_refused", ?area, version, rows);
+            self.cx.metrics.record_pull("refused", 0, Millis::ZERO);
+            return Facts::default();
+        };
+        self.transfers.lock().push(transfer);
+        replica.changes_since(version, now)
     }
 }
 
@@ -74,7 +107,7 @@
     let sent = Arc::new(AtomicU64::new(0));
     let stream = InspectWriter::new(stream, byte_counter(&sent));
     let channel = BaseChannel::with_defaults(foxtail_frame::transport(stream));
-    let server = Server { cx: Arc::clone(&cx) };
+    let server = Server { cx: Arc::clone(&cx), transfers: Arc::default() };
     let serving = channel.execute(server.serve()).for_each(|response| response);
     ended.run_until_cancelled(serving).await;
     cx.pulls_served.fetch_sub(1, Ordering::Relaxed);
@@ -93,47 +126,69 @@
     }
 }
 
-/// Pulls the facts of `area` that this host lacks from the host at `addr`, then from any other host
-/// that announced a newer version.
-pub(crate) async fn pull(cx: Arc<HostContext>, area: Area, mut addr: SocketAddr) {
+/// Pulls the facts of `area` that this host lacks from the hosts that announced them, starting with
+/// `step`, until it lacks none or the host ends.
+pub(crate) async fn pull(cx: Arc<HostContext>, area: Area, step: Step) {
+    let ended = cx.lifecycle.ended.clone();
+    ended.run_until_cancelled(pull_steps(&cx, area, step)).await;
+}
+
+async fn pull_steps(cx: &Arc<HostContext>, area: Area, mut step: Step) {
     loop {
-        let version = cx.known_version(area);
-        let started = cx.now();
-        let received = Arc::new(AtomicU64::new(0));
-        let request = request_facts(Arc::clone(&cx.dial), area, version, addr, &received);
-        let request = tokio::time::timeout(PULL_TIMEOUT.duration(), request);
-        let response = request.await.unwrap_or(Err(Error::TimedOut));
-        let (bytes, took) = (received.load(Ordering::Relaxed), cx.now().since(started));
-        cx.metrics.record_pull(outcome(&response), bytes, took);
-        match response {
-            Ok(facts) if facts.version > version => {
-                if bytes >= LOGGED_TRANSFER_BYTES {
-                    tracing::info!(event = "pulled", ?area, %addr, version = facts.version, bytes,
-                        took_ms = took.0);
-                }
-                cx.apply_facts(area, facts, false, &addr.to_string());
-                if cx.fleet.lock().should_relay(addr) {
-                    cx.notify_peers.notify_one();
-                }
+        step = match step {
+            Step::Ask(addr) => {
+                let outcome = pull_from(cx, area, addr).await;
+                let now = cx.now();
+                let finish = |pulls: &mut PullQueue, known| pulls.finish_pull(outcome, known, now);
+                cx.store_replica.lock().next_pull(area, finish)
+            }
+            Step::Wait(pause) => {
+                tokio::time::sleep(pause.duration()).await;
+                let now = cx.now();
+                cx.store_replica.lock().next_pull(area, |pulls, known| pulls.resume(known, now))
             }
-            Ok(_) => {}
-            Err(e) => tracing::info!(event = "host_not_asked", ?area, %addr, error = %e, version,
-                bytes, took_ms = took.0),
+            Step::Idle => return,
         }
-        let next = {
-            let mut store_replica = cx.store_replica.lock();
-            store_replica.pulls(area).and_then(|(pulls, known)| pulls.finish_pull(known))
-        };
-        match next {
-            Some(next) => addr = next,
-            None => return,
+    }
+}
+
+/// Pulls the facts of `area` that this host lacks from the host at `addr`.
+async fn pull_from(cx: &Arc<HostContext>, area: Area, addr: SocketAddr) -> PullOutcome {
+    let version = cx.known_version(area);
+    let started = cx.now();
+    let received = Arc::new(AtomicU64::new(0));
+    let request = request_facts(Arc::clone(&cx.dial), area, version, addr, &received);
+    let request = tokio::time::timeout(PULL_TIMEOUT.duration(), request);
+    let response = request.await.unwrap_or(Err(Error::TimedOut));
+    let (bytes, took) = (received.load(Ordering::Relaxed), cx.now().since(started));
+    cx.metrics.record_pull(outcome(&response), bytes, took);
+    match response {
+        Ok(facts) if facts.version > version => {
+            if bytes >= LOGGED_TRANSFER_BYTES {
+                tracing::info!(event = "pulled", ?area, %addr, version = facts.version, bytes,
+                    took_ms = took.0);
+            }
+            let rows: usize = facts.facts.iter().map(Fact::rows).sum();
+            cx.apply_facts(area, facts, false, &addr.to_string());
+            if cx.fleet.lock().should_relay(addr) {
+                cx.notify_peers.notify_one();
+            } else if rows >= LARGE_TRANSFER_ROWS {
+                cx.announce_source.notify_one();
+            }
         }
+        // Only a host that knows a version announces it, so that this one is busy.
+        Ok(facts) if facts.version == 0 => return PullOutcome::Busy,
+        Ok(_) => {}
+        Err(e) => tracing::info!(event = "host_not_asked", ?area, %addr, error = %e, version,
+            bytes, took_ms = took.0),
     }
+    PullOutcome::Ended
 }
 
 /// Returns the outcome of a pull for metrics.
 fn outcome(response: &Result<Facts, Error>) -> &'static str {
     match response {
+        Ok(facts) if facts.version == 0 => "busy",
         Ok(_) => "done",
         Err(Error::Unreachable(_)) => "unreachable",
         Err(Error::NoAnswer(_)) => "no-answer",
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -1,6 +1,6 @@
 //! The decisions of an entry host, without I/O: which upstream a request is sent to, which requests
-//! are refused or retried, how fast a cold upstream warms up, which hosts are alive and which of
-//! them callers are directed to.
+//! are refused or retried, how fast a cold upstream warms up, which hosts are alive, which of them
+//! callers are directed to, and from which of them changes of the store are fetched.
 //!
 //! All functions take the current time as an argument and return what to do. [`Steering`] holds the
 //! state of the upstreams, [`Fleet`] that of the other hosts.
@@ -9,7 +9,7 @@
 mod estimate;
 pub mod fleet;
 mod placement;
-mod pull_queue;
+pub mod pull_queue;
 pub mod rendezvous;
 pub mod retry;
 mod shift;
@@ -17,6 +17,7 @@
 pub mod steering;
 pub mod suspects;
 mod token_bucket;
+pub mod transfer_limit;
 pub mod upstream;
 
 pub use config::{Config, Route};
@@ -27,4 +28,5 @@
 pub use steering::Steering;
 pub use suspects::Suspects;
 pub use token_bucket::TokenBucket;
+pub use transfer_limit::TransferLimit;
 pub use upstream::Upstream;
