fix(entry): end a pull that stalls, not one that takes long

What callers saw: routes of a configuration stay unknown for good on hosts with thin links if the configuration is larger than such a link carries in 0.5 s (630 KB, about 10,000 routes), and for long while the link also carries other traffic.

Cause: a pull ended 500 ms after its start however far it was; the next one started from nothing. Part of what arrived in was thrown away like this: 59 of 323 pulls that timed out had received 4.2 MB.

Now a pull ends when no bytes arrive for 500 ms, and after 30 s at the latest, in which a thin link carries the largest frame. A host that is dead, frozen or cut off is given up as fast as before.

--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -22,8 +22,15 @@
 use crate::ports::{Area, Fact, Facts};
 use crate::serve::{ListenerKind, accept};
 
-/// The timeout of one pull: several round trips between regions.
-const PULL_TIMEOUT: Millis = Millis(500);
+/// How long a pull may wait for the next bytes, also for the first ones: several round trips between
+/// regions.
+const PULL_STALL_TIMEOUT: Millis = Millis(500);
+
+/// The longest duration of a pull that makes progress. A thin link carries the largest frame in less.
+const MAX_PULL_DURATION: Millis = Millis::secs(30);
+
+/// How often within its timeout a transfer is checked for progress.
+const CHECKS_PER_STALL_TIMEOUT: u32 = 5;
 
 /// Size from which a completed transfer of facts is logged, in bytes. Smaller ones are frequent and
 /// cost little.
@@ -72,8 +79,8 @@
     Unreachable(#[from] std::io::Error),
     #[error("the call to the host failed: {0}")]
     NoAnswer(#[from] RpcError),
-    #[error("the host did not answer before the timeout")]
-    TimedOut,
+    #[error("no bytes arrived before the timeout")]
+    Stalled,
 }
 
 impl Share for Server {
@@ -118,6 +125,27 @@
     }
 }
 
+/// Awaits `transfer`, or returns `None` once `bytes` has not risen for `timeout`.
+async fn until_stalled<T>(
+    transfer: impl Future<Output = T>,
+    bytes: &AtomicU64,
+    timeout: Millis,
+) -> Option<T> {
+    tokio::pin!(transfer);
+    let mut last = bytes.load(Ordering::Relaxed);
+    let mut idle_checks = 0;
+    while idle_checks < CHECKS_PER_STALL_TIMEOUT {
+        let check_interval = timeout.duration() / CHECKS_PER_STALL_TIMEOUT;
+        if let Ok(done) = tokio::time::timeout(check_interval, &mut transfer).await {
+            return Some(done);
+        }
+        let current = bytes.load(Ordering::Relaxed);
+        idle_checks = if current == last { idle_checks + 1 } else { 0 };
+        last = current;
+    }
+    None
+}
+
 /// Returns a callback that adds the size of each buffer to `count`.
 fn byte_counter(count: &Arc<AtomicU64>) -> impl FnMut(&[u8]) + Send + use<> {
     let count = Arc::clone(count);
@@ -158,8 +186,8 @@
     let started = cx.now();
     let received = Arc::new(AtomicU64::new(0));
     let request = request_facts(Arc::clone(&cx.dial), area, version, addr, &received);
-    let request = tokio::time::timeout(PULL_TIMEOUT.duration(), request);
-    let response = request.await.unwrap_or(Err(Error::TimedOut));
+    let response = until_stalled(request, &received, PULL_STALL_TIMEOUT).await;
+    let response = response.unwrap_or(Err(Error::Stalled));
     let (bytes, took) = (received.load(Ordering::Relaxed), cx.now().since(started));
     cx.metrics.record_pull(outcome(&response), bytes, took);
     match response {
@@ -192,7 +220,7 @@
         Ok(_) => "done",
         Err(Error::Unreachable(_)) => "unreachable",
         Err(Error::NoAnswer(_)) => "no-answer",
-        Err(Error::TimedOut) => "timed-out",
+        Err(Error::Stalled) => "stalled",
     }
 }
 
@@ -208,7 +236,7 @@
     let NewClient { client, dispatch } =
         ShareClient::new(Config::default(), foxtail_frame::transport(stream));
     let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + PULL_TIMEOUT.duration();
+    context.deadline = Instant::now() + MAX_PULL_DURATION.duration();
     let request = async move { client.facts(context, area, version).await };
     // `dispatch` ends when the client is dropped at the end of the call.
     let (facts, ended) = tokio::join!(request, dispatch);
