fix(entry): free the place of a host that falls silent while it pulls

A host that is frozen or cut off while it pulls a large change keeps its place at the host that it asked until the operating system gives the connection up, and two such hosts keep all others from pulling large changes there.

Cause: a host served a pull until the other side closed the connection, with no limit of its own.

Now it closes a connection on which nothing was sent for 1 s, twice as long as the other side waits for bytes, and logs it (stalled=true). Bytes that the operating system holds are still delivered after the close.

silent_hosts_that_pulled_do_not_keep_others_from_pulling failed before (a fourth host lacked the next configuration after 3 s) and passes.

--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -26,6 +26,10 @@
 /// regions.
 const PULL_STALL_TIMEOUT: Millis = Millis(500);
 
+/// How long a connection on which nothing is sent stays open for a host that pulls. It is longer
+/// than that host waits, and counts from when the last bytes were handed to the operating system.
+const SERVE_STALL_TIMEOUT: Millis = Millis(1_000);
+
 /// The longest duration of a pull that makes progress. A thin link carries the largest frame in less.
 const MAX_PULL_DURATION: Millis = Millis::secs(30);
 
@@ -116,12 +120,14 @@
     let channel = BaseChannel::with_defaults(foxtail_frame::transport(stream));
     let server = Server { cx: Arc::clone(&cx), transfers: Arc::default() };
     let serving = channel.execute(server.serve()).for_each(|response| response);
-    ended.run_until_cancelled(serving).await;
+    let serving = until_stalled(serving, &sent, SERVE_STALL_TIMEOUT);
+    let served = ended.run_until_cancelled(serving).await;
     cx.pulls_served.fetch_sub(1, Ordering::Relaxed);
     let (bytes, took) = (sent.load(Ordering::Relaxed), cx.now().since(started));
     cx.metrics.record_pull("served", bytes, took);
-    if bytes >= LOGGED_TRANSFER_BYTES {
-        tracing::info!(event = "pull_served", %from, bytes, took_ms = took.0, at_once);
+    let stalled = served == Some(None);
+    if stalled || bytes >= LOGGED_TRANSFER_BYTES {
+        tracing::info!(event = "pull_served", %from, bytes, took_ms = took.0, at_once, stalled);
     }
 }
 
