fix(platform): give a change the version of its row

Cause: the facts that a host read from the feed got the version of the whole store, which counts all tables' transactions. Two hosts that read the same change at different times gave it different versions, and all hosts that had the older one pulled the whole configuration again when the later reader announced its own.

Now a change has the version of its newest row, and how far the store was read is kept beside it and not sent. A host does not pull what its own reading of the store covers.

--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -48,16 +48,16 @@
         }
     }
 
-    /// Calls `next` with the state of pulls of `area` from other hosts and the version that this
-    /// host knows, and returns the step that it returns.
+    /// Calls `next` with the state of pulls of `area` from other hosts and the version up to which
+    /// this host's copy is complete, and returns the step that it returns.
     pub(crate) fn next_pull(
         &mut self,
         area: Area,
         next: impl FnOnce(&mut PullQueue, u64) -> Step,
     ) -> Step {
         match area {
-            Area::Operators => next(&mut self.operator_pulls, self.operators.version()),
-            Area::Upstreams => next(&mut self.upstream_pulls, self.upstreams.version()),
+            Area::Operators => next(&mut self.operator_pulls, self.operators.read_version()),
+            Area::Upstreams => next(&mut self.upstream_pulls, self.upstreams.read_version()),
             Area::Hosts => Step::Idle,
         }
     }
@@ -87,7 +87,8 @@
         self.store_replica.lock().area(area).map_or(0, |replica| replica.version())
     }
 
-    /// Returns the version of `area` after which changes are requested from the store.
+    /// Returns the version of `area` up to which this host's copy is complete, after which changes are
+    /// requested.
     pub(crate) fn read_version(&self, area: Area) -> u64 {
         self.store_replica.lock().area(area).map_or(0, |replica| replica.read_version())
     }
--- a/foxtail-entry/src/ports.rs
+++ b/foxtail-entry/src/ports.rs
@@ -129,8 +129,13 @@
 /// Rows or changes of an area, up to one version.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Facts {
-    /// The version up to which the facts are complete.
+    /// The version of the newest change among the facts, at which they are complete. It is the same
+    /// for all hosts that read the same changes.
     pub version: u64,
+    /// The version up to which the store was read; at least `version`. It also rises with changes in
+    /// other areas, and is not sent to other hosts.
+    #[serde(skip)]
+    pub read_version: u64,
     /// The facts, oldest first.
     pub facts: Vec<Fact>,
     /// Whether the facts are all rows of the area, rather than changes.
--- a/foxtail-entry/src/replica.rs
+++ b/foxtail-entry/src/replica.rs
@@ -41,7 +41,7 @@
         self.version
     }
 
-    /// Returns the version after which changes are requested from the store.
+    /// Returns the version up to which this copy is complete, after which changes are requested.
     pub(crate) fn read_version(&self) -> u64 {
         self.read_version.max(self.version)
     }
@@ -51,16 +51,17 @@
     /// If `facts` are all rows of the area, other rows are removed; `lapsed` says that
     /// registrations among them may have lapsed during a store outage.
     pub(crate) fn apply(&mut self, facts: Facts, lapsed: bool, now: Millis) -> Option<Vec<Fact>> {
-        if facts.version < self.version {
+        let complete_to = facts.version.max(facts.read_version);
+        if complete_to < self.version {
             return None;
         }
-        self.read_version = self.read_version.max(facts.version);
+        self.read_version = self.read_version.max(complete_to);
         if !facts.whole && facts.facts.is_empty() {
             return Some(Vec::new());
         }
         let mut changed = if facts.whole { self.removals(&facts, lapsed) } else { Vec::new() };
         changed.extend(facts.facts);
-        self.version = facts.version;
+        self.version = self.version.max(facts.version);
         for fact in &changed {
             let row = Row { version: facts.version, learned_at: now, fact: fact.clone() };
             if let Some(key) = row_key(fact) {
@@ -76,7 +77,7 @@
     pub(crate) fn changes_since(&self, version: u64, now: Millis) -> Facts {
         let whole = self.must_send_all(version);
         let facts = self.rows_since(version).map(|row| row.fact_at(now)).collect();
-        Facts { version: self.version, facts, whole }
+        Facts { version: self.version, read_version: self.read_version(), facts, whole }
     }
 
     /// Returns the size of [`AreaReplica::changes_since`], in rows.
--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -188,7 +188,7 @@
 
 /// Pulls the facts of `area` that this host lacks from the host at `addr`.
 async fn pull_from(cx: &Arc<HostContext>, area: Area, addr: SocketAddr) -> PullOutcome {
-    let version = cx.known_version(area);
+    let version = cx.read_version(area);
     let started = cx.now();
     let received = Arc::new(AtomicU64::new(0));
     let request = request_facts(Arc::clone(&cx.dial), area, version, addr, &received);
