--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Phase};
-use foxtail_steer::pull_queue::Step;
+use foxtail_steer::pull_queue::{SOURCE_NOTICE_HOSTS, Step};
 use foxtail_steer::suspects::MAX_STRIKES;
 use foxtail_types::prelude::*;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -33,11 +33,6 @@
 /// strike is most often the fault of an upstream or a link, and goes out with the periodic digests.
 pub(crate) const IMMEDIATE_SHARE_STRIKES: usize = MAX_STRIKES - 1;
 
-/// The number of hosts that a host informs that it can serve a large change. With this many, nearly
-/// all hosts that lack the change hear of several sources, and a region of any size exchanges this
-/// many notices a host.
-const SOURCE_NOTICE_HOSTS: usize = 8;
-
 /// Receives digests until the host ends.
 pub(crate) async fn receive(cx: Arc<HostContext>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DIGEST_BYTES];
--- a/foxtail-steer/src/pull_queue.rs
+++ b/foxtail-steer/src/pull_queue.rs
@@ -13,6 +13,11 @@
 
 use crate::rendezvous;
 
+/// The number of hosts that a host informs that it can serve a large change. With this many, nearly
+/// all hosts that lack the change hear of several sources, and a region of any size exchanges this
+/// many notices a host.
+pub const SOURCE_NOTICE_HOSTS: usize = 8;
+
 /// The mean pause before a busy host is asked again. It doubles with each refusal up to
 /// [`MAX_BUSY_PAUSE`].
 const INITIAL_BUSY_PAUSE: Millis = Millis(60);
