fix(entry): tell of a stop in a message that does not grow with the fleet

Now it sends its own heartbeat only, which is what the others need.

notice_of_a_stop_does_not_grow_with_the_number_of_hosts failed before (63 bytes with one other host, 647 with 60) and passes.

--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -195,14 +195,9 @@
     send_digest(cx, socket, digest, targets).await;
 }
 
-/// Sends a digest to all other hosts, and asks for theirs if `reply` is set.
-pub(crate) async fn announce(cx: &HostContext, socket: &UdpSocket, reply: bool) {
-    let now = cx.now();
-    let (digest, own_region, other_regions) = {
-        let mut fleet = cx.fleet.lock();
-        let (own_region, other_regions) = fleet.digest_targets();
-        (fleet.digest(now, reply), own_region, other_regions)
-    };
+/// Sends `digest` to all other hosts.
+async fn send_to_all(cx: &HostContext, socket: &UdpSocket, digest: Digest) {
+    let (own_region, other_regions) = cx.fleet.lock().digest_targets();
     send_digest(cx, socket, digest, own_region.into_iter().chain(other_regions)).await;
 }
 
@@ -233,7 +228,8 @@
         }
         let known = cx.fleet.lock().host_count();
         tracing::info!(event = "registered", hosts = known);
-        announce(&cx, &socket, true).await;
+        let digest = cx.fleet.lock().digest(cx.now(), true);
+        send_to_all(&cx, &socket, digest).await;
     };
     tokio::select! {
         () = joining => {}
@@ -243,8 +239,12 @@
 
 /// Sets the host's phase and announces it to all other hosts.
 pub(crate) async fn enter_phase(cx: &HostContext, socket: &UdpSocket, phase: Phase) {
-    cx.fleet.lock().set_phase(phase);
-    announce(cx, socket, false).await;
+    let digest = {
+        let mut fleet = cx.fleet.lock();
+        fleet.set_phase(phase);
+        fleet.own_digest(cx.now())
+    };
+    send_to_all(cx, socket, digest).await;
 }
 
 /// Adds the recent strikes to `digest` and sends it to each of `targets`.
--- a/foxtail-entry/tests/spreading.rs
+++ b/foxtail-entry/tests/spreading.rs
@@ -12,13 +12,16 @@
 
 use async_trait::async_trait;
 
-use common::{TestSite, exchange, ready, request, until};
+use common::{TestSite, exchange, metric, ready, request, until};
 use foxtail_entry::Host;
 use foxtail_net::{Dial, Stream, TcpDial};
 use foxtail_standin::net::{Location, Network, Options};
 use foxtail_standin::store::StoreEndpoint;
+use foxtail_steer::Fleet;
+use foxtail_steer::fleet::{Digest, HostRecord, Phase};
 use foxtail_time::Millis;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 /// The hosts of one region of the grown sites.
@@ -277,3 +280,48 @@
         host.stop().await;
     }
 }
+
+#[tokio::test]
+async fn notice_of_a_stop_does_not_grow_with_the_number_of_hosts() {
+    let few = stop_notice_bytes(1).await;
+    let many = stop_notice_bytes(60).await;
+    assert!(many <= few + 16, "{many} bytes with 60 hosts, {few} with one");
+}
+
+/// Returns the size of the message in which a host that stops tells another one, while it knows
+/// `others` hosts that are alive.
+async fn stop_notice_bytes(others: usize) -> usize {
+    let site = TestSite::new();
+    site.configure(7);
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let addr = socket.local_addr().unwrap();
+    for n in 0..others {
+        let record = HostRecord {
+            id: format!("other-{n}").parse().unwrap(),
+            region: "a".parse().unwrap(),
+            zone: "a1".parse().unwrap(),
+            caller: addr,
+            peer: addr,
+            operator: None,
+        };
+        let digest = Fleet::new(record, Millis(1_000), Millis(2_000)).own_digest(Millis(1_000));
+        let bytes = postcard::to_stdvec(&digest).unwrap();
+        socket.send_to(&bytes, host.settings().peer).await.unwrap();
+    }
+    until("the host knows the others", async || {
+        metric(&host, "hosts_alive").await == Some(others as f64 + 1.0)
+    })
+    .await;
+    tokio::spawn(host.stop());
+    let mut buf = vec![0; 16 * 1024];
+    loop {
+        let received = tokio::time::timeout(APPLY_BOUND, socket.recv(&mut buf)).await;
+        let len = received.expect("no notice of the stop arrived").unwrap();
+        let digest: Digest = postcard::from_bytes(&buf[..len]).unwrap();
+        if digest.beats[0].phase == Phase::Leaving {
+            return len;
+        }
+    }
+}
