fix(entry): tell hosts that pull of rows removed before the first read

On a host that pulls from one that started lately, requests still go to an upstream whose registration was removed in between, without end: a drain of the kind that announces nothing.

Now such a host sends all rows to hosts at older versions, and these remove what is missing. That happens as often as before, when the rows all had the version of the reading and were sent as changes.

The stand-in of a host that falls silent moves to the tests' common module.

--- a/foxtail-entry/src/replica.rs
+++ b/foxtail-entry/src/replica.rs
@@ -24,7 +24,8 @@
     read_version: u64,
     /// The rows and tombstones, by [`row_key`].
     rows: BTreeMap<String, Row>,
-    /// Tombstones up to this version may no longer be kept.
+    /// Tombstones up to this version may be missing: rows that were removed before the first read,
+    /// and tombstones that are no longer kept.
     pruned_version: u64,
 }
 
@@ -60,6 +61,9 @@
         if !facts.whole && facts.facts.is_empty() {
             return Some(Vec::new());
         }
+        if self.version == 0 {
+            self.pruned_version = facts.version;
+        }
         let mut changed = if facts.whole { self.removals(&facts, lapsed) } else { Vec::new() };
         changed.extend(facts.facts.into_iter().filter(|fact| !facts.whole || !self.holds(fact)));
         self.version = self.version.max(facts.version);
--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -3,18 +3,25 @@
 #![allow(dead_code, reason = "each test target uses a part")]
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use async_trait::async_trait;
+
 use foxtail_adapter::{HttpProtocol, HttpStore};
 use foxtail_entry::settings::RetryBudget;
 use foxtail_entry::{Host, Ports, Settings};
-use foxtail_net::{Dial, KeepaliveDial};
+use foxtail_net::{Dial, KeepaliveDial, Stream, TcpDial};
 use foxtail_standin::caller::{self, Answer, Request};
 use foxtail_standin::store::{Store, StoreEndpoint};
 use foxtail_standin::upstream::UpstreamServer;
 use foxtail_time::{BootClock, Millis};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// The maximum wait for a condition or a response.
@@ -134,6 +141,65 @@
     }
 }
 
+/// Connects over TCP. Once it is silenced, connections deliver nothing and are never closed, as
+/// those of a frozen host.
+#[derive(Clone, Default)]
+pub(crate) struct SilenceableDial {
+    pub silenced: Arc<AtomicBool>,
+    kept: Arc<Mutex<Vec<Box<dyn Stream>>>>,
+}
+
+struct SilentStream {
+    inner: Option<Box<dyn Stream>>,
+    kept: Arc<Mutex<Vec<Box<dyn Stream>>>>,
+}
+
+#[async_trait]
+impl Dial for SilenceableDial {
+    async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        let stream = TcpDial.dial(to).await?;
+        if !self.silenced.load(Ordering::Relaxed) {
+            return Ok(stream);
+        }
+        Ok(Box::new(SilentStream { inner: Some(stream), kept: Arc::clone(&self.kept) }))
+    }
+}
+
+impl AsyncRead for SilentStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+        _buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Poll::Pending
+    }
+}
+
+impl AsyncWrite for SilentStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let inner = self.inner.as_mut().expect("the stream is taken only when dropped");
+        Pin::new(inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Drop for SilentStream {
+    fn drop(&mut self) {
+        self.kept.lock().unwrap().extend(self.inner.take());
+    }
+}
+
 /// Whether the health check of `host` succeeds.
 pub(crate) async fn ready(host: &Host) -> bool {
     caller::is_ready(host.settings().health).await
--- a/foxtail-entry/tests/following.rs
+++ b/foxtail-entry/tests/following.rs
@@ -3,16 +3,30 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use common::{TestSite, exchange, ready, request, until};
+use common::{SilenceableDial, TestSite, exchange, ready, request, until};
 use foxtail_entry::Host;
-use foxtail_standin::store::Fault;
+use foxtail_standin::caller::Request;
+use foxtail_standin::store::{Fault, StoreEndpoint};
+use tokio::time::Instant;
 
 async fn status(host: &Host, path: &str) -> u16 {
     exchange(host.settings().caller, &request("GET", path, "probe", 1_000, "")).await.status
 }
 
+/// Sends requests about different objects to `host`, which all upstreams of the service answer.
+async fn request_many_objects(host: &Host) {
+    for object in 0..20 {
+        let timeout = Duration::from_secs(1);
+        let (method, host_name, path) = ("GET", "svc.example", "/read/1");
+        let req = Request { method, host: host_name, path, id: "probe", object, timeout, body: "" };
+        assert_eq!(exchange(host.settings().caller, &req.encode()).await.status, 200);
+    }
+}
+
 #[tokio::test]
 async fn unreadable_rows_are_ignored_and_the_other_rows_apply() {
     let site = TestSite::new();
@@ -171,7 +185,7 @@
     for (host, _) in &hosts {
         until("the host is ready", async || ready(host).await).await;
     }
-    let readers = |hosts: &[(Host, foxtail_standin::store::StoreEndpoint)]| {
+    let readers = |hosts: &[(Host, StoreEndpoint)]| {
         hosts
             .iter()
             .filter(|(_, endpoint)| endpoint.call_counts().contains_key("/rows-feed"))
@@ -218,3 +232,67 @@
     first.stop().await;
     second.stop().await;
 }
+
+#[tokio::test]
+async fn silent_hosts_that_pulled_do_not_keep_others_from_pulling() {
+    let site = TestSite::new();
+    site.configure(7);
+    let _up = site.upstream("up-1", "a1").await;
+    let mut hosts = Vec::new();
+    for n in 0..6 {
+        let endpoint = site.store_endpoint().await;
+        let dial = SilenceableDial::default();
+        let name = format!("h-{n}");
+        let host = site.host_with_dial(&name, "a1", &endpoint, Arc::new(dial.clone())).await;
+        hosts.push((host, endpoint, dial));
+    }
+    for (host, ..) in &hosts {
+        until("the host is ready", async || ready(host).await).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let reads_store = |endpoint: &StoreEndpoint| endpoint.call_counts().contains_key("/rows-feed");
+    let mut pulling = hosts.iter().filter(|(_, endpoint, _)| !reads_store(endpoint));
+    let (host, ..) = pulling.next().expect("some hosts do not read the store");
+    pulling.for_each(|(.., dial)| dial.silenced.store(true, Ordering::Relaxed));
+    site.configure_with_extra_routes(12, 1_400);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let start = Instant::now();
+    site.configure_with_extra_routes(13, 1_401);
+    let last_route = "/extra-1400/1";
+    while status(host, last_route).await != 200 {
+        assert!(start.elapsed() < Duration::from_secs(3), "the host lacks the configuration");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for (host, ..) in hosts {
+        host.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn upstream_removed_before_a_host_started_is_removed_on_hosts_that_pull_from_it() {
+    let site = TestSite::new();
+    site.configure(7);
+    let removed = site.upstream("up-1", "a1").await;
+    let kept = site.upstream("up-2", "a1").await;
+    let cut_off = site.store_endpoint().await;
+    let old = site.ready_host("h-1", "a1", &cut_off).await;
+    request_many_objects(&old).await;
+    assert!(removed.runs() > 0, "the upstream is used before it is removed");
+    cut_off.set_fault(Fault::Silent);
+    // A change ends the waiting long poll, so that the next call meets the fault.
+    site.store.put("servers", "up-2", &kept.registration("books", "a2", "ready", 0.0));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.store.delete_row("servers", "up-1");
+
+    let endpoint = site.store_endpoint().await;
+    let dial = SilenceableDial::default();
+    dial.silenced.store(true, Ordering::Relaxed);
+    let new = site.host_with_dial("h-2", "a1", &endpoint, Arc::new(dial)).await;
+    until("the new host has read the store", async || ready(&new).await).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = removed.runs();
+    request_many_objects(&old).await;
+    assert_eq!(removed.runs(), before, "requests went to an upstream that is gone");
+    old.stop().await;
+    new.stop().await;
+}
--- a/foxtail-entry/tests/spreading.rs
+++ b/foxtail-entry/tests/spreading.rs
@@ -1,26 +1,17 @@
-//! Changes of the store reach all hosts of a large region whose hosts have thin links.
+//! What hosts send each other over thin links: changes of the store in a large region, and notices.
 
 mod common;
 
-use std::io;
-use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-
 use common::{TestSite, exchange, metric, ready, request, until};
 use foxtail_entry::Host;
-use foxtail_net::{Dial, Stream, TcpDial};
 use foxtail_standin::net::{Location, Network, Options};
 use foxtail_standin::store::StoreEndpoint;
 use foxtail_steer::Fleet;
 use foxtail_steer::fleet::{Digest, HostRecord, Phase};
 use foxtail_time::Millis;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
@@ -115,65 +106,6 @@
     }
 }
 
-/// Connects over TCP. Once it is silenced, connections deliver nothing and are never closed, as
-/// those of a frozen host.
-#[derive(Clone, Default)]
-struct SilenceableDial {
-    silenced: Arc<AtomicBool>,
-    kept: Arc<Mutex<Vec<Box<dyn Stream>>>>,
-}
-
-struct SilentStream {
-    inner: Option<Box<dyn Stream>>,
-    kept: Arc<Mutex<Vec<Box<dyn Stream>>>>,
-}
-
-#[async_trait]
-impl Dial for SilenceableDial {
-    async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
-        let stream = TcpDial.dial(to).await?;
-        if !self.silenced.load(Ordering::Relaxed) {
-            return Ok(stream);
-        }
-        Ok(Box::new(SilentStream { inner: Some(stream), kept: Arc::clone(&self.kept) }))
-    }
-}
-
-impl AsyncRead for SilentStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        _cx: &mut Context<'_>,
-        _buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Poll::Pending
-    }
-}
-
-impl AsyncWrite for SilentStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let inner = self.inner.as_mut().expect("the stream is taken only when dropped");
-        Pin::new(inner).poll_write(cx, buf)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Drop for SilentStream {
-    fn drop(&mut self) {
-        self.kept.lock().unwrap().extend(self.inner.take());
-    }
-}
-
 async fn status(host: &Host, path: &str) -> u16 {
     exchange(host.settings().caller, &request("GET", path, "probe", 1_000, "")).await.status
 }
@@ -246,41 +178,6 @@
     region.stop().await;
 }
 
-#[tokio::test]
-async fn silent_hosts_that_pulled_do_not_keep_others_from_pulling() {
-    let site = TestSite::new();
-    site.configure(7);
-    let _up = site.upstream("up-1", "a1").await;
-    let mut hosts = Vec::new();
-    for n in 0..6 {
-        let endpoint = site.store_endpoint().await;
-        let dial = SilenceableDial::default();
-        let name = format!("h-{n}");
-        let host = site.host_with_dial(&name, "a1", &endpoint, Arc::new(dial.clone())).await;
-        hosts.push((host, endpoint, dial));
-    }
-    for (host, ..) in &hosts {
-        until("the host is ready", async || ready(host).await).await;
-    }
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    let reads_store = |endpoint: &StoreEndpoint| endpoint.call_counts().contains_key("/rows-feed");
-    let mut pulling = hosts.iter().filter(|(_, endpoint, _)| !reads_store(endpoint));
-    let (host, ..) = pulling.next().expect("some hosts do not read the store");
-    pulling.for_each(|(.., dial)| dial.silenced.store(true, Ordering::Relaxed));
-    site.configure_with_extra_routes(12, EXTRA_ROUTES);
-    tokio::time::sleep(Duration::from_secs(3)).await;
-    let start = Instant::now();
-    site.configure_with_extra_routes(13, EXTRA_ROUTES + 1);
-    let last_route = format!("/extra-{EXTRA_ROUTES}/1");
-    while status(host, &last_route).await != 200 {
-        assert!(start.elapsed() < APPLY_BOUND, "the host lacks the configuration");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    for (host, ..) in hosts {
-        host.stop().await;
-    }
-}
-
 #[tokio::test]
 async fn notice_of_a_stop_does_not_grow_with_the_number_of_hosts() {
     let few = stop_notice_bytes(1).await;
