refactor(entry): separate pulling from serving, and name what is counted

share.rs serves store facts, pull.rs pulls them, progress.rs watches both. No change of behaviour; the log target of host_not_asked and pulled is foxtail_entry::pull now.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -47,8 +47,8 @@
     pub(crate) buffered_body_bytes: AtomicU64,
     /// The facts that are being sent to other hosts.
     pub(crate) transfers: Mutex<TransferLimit>,
-    /// The number of connections from other hosts that pull.
-    pub(crate) pulls_served: AtomicU64,
+    /// The number of connections on which other hosts pull.
+    pub(crate) pull_conns: AtomicU64,
 }
 
 /// The host's progress through start and graceful shutdown.
@@ -88,7 +88,7 @@
             requests: AtomicU64::new(0),
             buffered_body_bytes: AtomicU64::new(0),
             transfers: Mutex::default(),
-            pulls_served: AtomicU64::new(0),
+            pull_conns: AtomicU64::new(0),
         }
     }
 
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -15,7 +15,7 @@
 
 use crate::context::HostContext;
 use crate::ports::Area;
-use crate::share;
+use crate::pull;
 
 /// The maximum size of a received digest, in bytes.
 const MAX_DIGEST_BYTES: usize = 16 * 1024;
@@ -69,7 +69,7 @@
             pulls.record_announcement(digest.from.peer, version, known, now)
         });
         if step != Step::Idle {
-            cx.tasks.spawn(share::pull(Arc::clone(cx), area, step));
+            cx.tasks.spawn(pull::pull(Arc::clone(cx), area, step));
         }
     }
     merge_strikes(cx, digest, now);
--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -15,6 +15,8 @@
 mod operator;
 mod pool;
 pub mod ports;
+mod progress;
+mod pull;
 mod refusal;
 mod replica;
 mod request;
--- a/foxtail-entry/src/ports.rs
+++ b/foxtail-entry/src/ports.rs
@@ -132,8 +132,8 @@
     /// The version of the newest change among the facts, at which they are complete. It is the same
     /// for all hosts that read the same changes.
     pub version: u64,
-    /// The version up to which the store was read; at least `version`. It also rises with changes in
-    /// other areas, and is not sent to other hosts.
+    /// The version up to which the store was read, which also rises with changes in other areas. It
+    /// is not sent to other hosts; 0 in facts from another host.
     #[serde(skip)]
     pub read_version: u64,
     /// The facts, oldest first.
