fix(entry): tell hosts that pull of rows that came and went unseen

A host that reads all rows later, since the store discarded its history, never saw a row that came and went in between, and has no tombstone for it; a host that did see it come was told of no removal.

Now a replica keeps the range of versions that its last reading of all rows skipped, and sends all rows to a host whose newest change lies in it. A pull says for that which change is the newest that the host has, not how far it has read.

--- a/foxtail-entry/src/pull.rs
+++ b/foxtail-entry/src/pull.rs
@@ -64,7 +64,9 @@
 
 /// Pulls the facts of `area` that this host lacks from the host at `addr`.
 async fn pull_from(cx: &Arc<HostContext>, area: Area, addr: SocketAddr) -> PullOutcome {
-    let version = cx.read_version(area);
+    // The newest change that this host has, not how far it knows of none: that tells the other host
+    // which rows this one may have.
+    let version = cx.known_version(area);
     let started = cx.now();
     let received = Arc::new(AtomicU64::new(0));
     let request = request_facts(Arc::clone(&cx.dial), area, version, addr, &received);
--- a/foxtail-entry/src/replica.rs
+++ b/foxtail-entry/src/replica.rs
@@ -1,6 +1,7 @@
 //! The host's copy of one area of the store, from which other hosts can pull changes.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use foxtail_types::prelude::*;
 
@@ -24,9 +25,11 @@
     read_version: u64,
     /// The rows and tombstones, by [`row_key`].
     rows: BTreeMap<String, Row>,
-    /// Tombstones up to this version may be missing: rows that were removed before the first read,
-    /// and tombstones that are no longer kept.
+    /// Tombstones up to this version may be missing.
     pruned_version: u64,
+    /// The versions that the last reading of all rows skipped. Rows that came and went in between
+    /// left no tombstones here, but a host at one of these versions may have them.
+    skipped_versions: Range<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -57,13 +60,13 @@
         if complete_to < self.version {
             return None;
         }
+        if facts.whole {
+            self.skip_versions(facts.version);
+        }
         self.read_version = self.read_version.max(complete_to);
         if !facts.whole && facts.facts.is_empty() {
             return Some(Vec::new());
         }
-        if self.version == 0 {
-            self.pruned_version = facts.version;
-        }
         let mut changed = if facts.whole { self.removals(&facts, lapsed) } else { Vec::new() };
         changed.extend(facts.facts.into_iter().filter(|fact| !facts.whole || !self.holds(fact)));
         self.version = self.version.max(facts.version);
@@ -78,7 +81,7 @@
     }
 
     /// Returns the changes after `version`, or all rows if `version` is 0 or not all tombstones
-    /// after it are kept.
+    /// after it are known.
     pub(crate) fn changes_since(&self, version: u64, now: Millis) -> Facts {
         let whole = self.must_send_all(version);
         let facts = self.rows_since(version).map(|row| row.fact_at(now)).collect();
@@ -99,7 +102,16 @@
     }
 
     fn must_send_all(&self, version: u64) -> bool {
-        version == 0 || version < self.pruned_version
+        version == 0 || version < self.pruned_version || self.skipped_versions.contains(&version)
+    }
+
+    /// Records that the changes up to `version` are not all known, since all rows were read instead.
+    fn skip_versions(&mut self, version: u64) {
+        let first = self.read_version() + 1;
+        if first < version {
+            self.pruned_version = self.pruned_version.max(self.skipped_versions.end);
+            self.skipped_versions = first..version;
+        }
     }
 
     /// Returns whether the row of `fact` is known as it is.
--- a/foxtail-entry/tests/following.rs
+++ b/foxtail-entry/tests/following.rs
@@ -296,3 +296,42 @@
     old.stop().await;
     new.stop().await;
 }
+
+#[tokio::test]
+async fn upstream_that_came_and_went_unseen_by_a_host_is_removed_on_hosts_that_pull_from_it() {
+    let site = TestSite::new();
+    site.configure(7);
+    let kept = site.upstream("up-1", "a1").await;
+    let reader_endpoint = site.store_endpoint().await;
+    let dial = SilenceableDial::default();
+    let reader = site.host_with_dial("h-1", "a1", &reader_endpoint, Arc::new(dial.clone())).await;
+    let other_endpoint = site.store_endpoint().await;
+    let other = site.ready_host("h-2", "a1", &other_endpoint).await;
+    until("the reader is ready", async || ready(&reader).await).await;
+    // A change ends the waiting long polls, so that the next calls meet the fault.
+    let change = |zone: &str| {
+        site.store.put("servers", "up-1", &kept.registration("books", zone, "ready", 0.0));
+    };
+    dial.silenced.store(true, Ordering::Relaxed);
+    reader_endpoint.set_fault(Fault::Unavailable);
+    change("a2");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let brief = site.upstream("up-2", "a1").await;
+    until("the other host uses the upstream", async || {
+        request_many_objects(&other).await;
+        brief.runs() > 0
+    })
+    .await;
+    other_endpoint.set_fault(Fault::Unavailable);
+    change("a1");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.store.delete_row("servers", "up-2");
+    site.store.clear_history();
+    reader_endpoint.set_fault(Fault::None);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = brief.runs();
+    request_many_objects(&other).await;
+    assert_eq!(brief.runs(), before, "requests went to an upstream that is gone");
+    reader.stop().await;
+    other.stop().await;
+}
