fix(entry): notice the end of a store outage when the store returns

Three readers lost the store at 4 s and took it for lost until 19.7 s, though it was back at about 8 s. A registration that vanishes within 2.2 s after an outage may have lapsed, and is kept so long; this span began at 19.7 s, and a drain whose announcement and end came in one reading at 21.1 s was kept until 23.7 s. Meanwhile other hosts read the store in their place.

Now calls wait 10 ms only until one succeeds.

upstream_removed_long_after_an_outage_is_not_taken_for_lapsed failed before (all 13 requests that go there went to the removed upstream) and passes.

--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -15,6 +15,10 @@
 /// How long one call waits for a change in the store.
 const LONG_POLL_TIMEOUT: Millis = Millis::secs(20);
 
+/// How long a call waits for a change while the store fails. It is short, so that the end of an
+/// outage is noticed when the store returns, and not with the next change.
+const OUTAGE_POLL_TIMEOUT: Millis = Millis(10);
+
 /// The pause after a change, so that the next call returns several changes at once.
 const BATCH_DELAY: Millis = Millis(400);
 
@@ -121,7 +125,11 @@
     async fn read_changes(&mut self) {
         let call_started = self.cx.now();
         let version = self.cx.read_version(self.area);
-        let changes = self.cx.store.changes(self.area, version, LONG_POLL_TIMEOUT).await;
+        let wait = match self.failing_since {
+            Some(_) => OUTAGE_POLL_TIMEOUT,
+            None => LONG_POLL_TIMEOUT,
+        };
+        let changes = self.cx.store.changes(self.area, version, wait).await;
         self.record_call("changes", &changes, call_started);
         match changes {
             Ok(mut facts) => {
--- a/foxtail-entry/tests/following.rs
+++ b/foxtail-entry/tests/following.rs
@@ -335,3 +335,29 @@
     reader.stop().await;
     other.stop().await;
 }
+
+#[tokio::test]
+async fn upstream_removed_long_after_an_outage_is_not_taken_for_lapsed() {
+    let site = TestSite::new();
+    site.configure(7);
+    let removed = site.upstream("up-1", "a1").await;
+    let _kept = site.upstream("up-2", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    request_many_objects(&host).await;
+    assert!(removed.runs() > 0, "the upstream is used before it is removed");
+    // A change ends the waiting long poll, so that the next call meets the fault.
+    site.store.put("servers", "up-1", &removed.registration("books", "a2", "ready", 0.0));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    endpoint.set_fault(Fault::Unavailable);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    endpoint.set_fault(Fault::None);
+    // Upstreams are back within two seconds of the store's return; nothing changes meanwhile.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    site.store.delete_row("servers", "up-1");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = removed.runs();
+    request_many_objects(&host).await;
+    assert_eq!(removed.runs(), before, "requests went to an upstream that is gone");
+    host.stop().await;
+}
