feat(entry): show the limits that upstreams name

Hosts now read the limit from answers, keep it with the time of the answer, and share it in their digests: new limits at once, all known ones with the periodic digests, 48 at a time. An answer without a limit ends one only if its request was sent after the last answer that named it. Log line upstream_limit, gauge upstream_limits_named, counter limited_attempts_total. Nothing acts on it yet.

Digests of earlier versions are still read, and earlier versions ignore what follows the digest.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -117,7 +117,14 @@
     wait_ms: f64,
 ) -> AttemptOutcome {
     let started = cx.now();
-    cx.steering.lock().record_sent(&up.id, started);
+    let limited = {
+        let mut steering = cx.steering.lock();
+        steering.record_sent(&up.id, started);
+        steering.named_limit(&up.id).is_some()
+    };
+    if limited {
+        cx.metrics.count_limited_attempt(fwd.service);
+    }
     let mut guard = AttemptGuard { cx, up, fwd, started, wait_ms, reported: false };
     let left = fwd.deadline.since(started).duration();
     match tokio::time::timeout(left, send(cx, up, fwd, &mut guard)).await {
@@ -189,6 +196,7 @@
         guard.report(Outcome::Broken, None);
         return AttemptOutcome::MayHaveRun(Outcome::Broken);
     }
+    cx.record_limit(up, &info, guard.started);
     if info.moved || info.not_run {
         let outcome = if info.moved { Outcome::WrongInstance } else { Outcome::Shed };
         guard.report(outcome, Some(&info));
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -1,12 +1,13 @@
-//! Exchanges digests with other hosts over UDP: liveness, phase, request rate, store versions, and
-//! strikes against requests that broke connections to upstreams. Also registers the host in the
-//! store.
+//! Exchanges digests with other hosts over UDP: liveness, phase, request rate, store versions,
+//! strikes against requests that broke connections to upstreams, and limits that upstreams name.
+//! Also registers the host in the store.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Phase};
+use foxtail_steer::named_limit::LimitReport;
 use foxtail_steer::pull_queue::{SOURCE_NOTICE_HOSTS, Step};
 use foxtail_steer::suspects::MAX_STRIKES;
 use foxtail_types::prelude::*;
@@ -50,14 +51,28 @@
                 continue;
             }
         };
-        let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) else {
+        let Ok((digest, limits)) = decode_message(&buf[..len]) else {
             tracing::debug!(event = "digest_unreadable", %from, len);
             continue;
         };
+        cx.merge_limits(&limits, &digest.from.id, digest.from.peer);
         handle_digest(&cx, &socket, &digest).await;
     }
 }
 
+/// Encodes a digest and, behind it, reports on limits. Hosts of versions without such reports ignore
+/// what follows the digest.
+fn encode_message(digest: &Digest, limits: &[LimitReport]) -> postcard::Result<Vec<u8>> {
+    let buf = postcard::to_stdvec(digest)?;
+    postcard::to_extend(limits, buf)
+}
+
+fn decode_message(bytes: &[u8]) -> postcard::Result<(Digest, Vec<LimitReport>)> {
+    let (digest, rest) = postcard::take_from_bytes(bytes)?;
+    let limits = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+    Ok((digest, limits))
+}
+
 async fn handle_digest(cx: &Arc<HostContext>, socket: &UdpSocket, digest: &Digest) {
     cx.metrics.count_digest();
     let versions = digest.versions;
@@ -179,7 +194,8 @@
         let mut fleet = cx.fleet.lock();
         (fleet.own_digest(now), fleet.digest_targets().0)
     };
-    send_digest(cx, socket, digest, own_region).await;
+    let limits = cx.steering.lock().changed_limits_to_share(now);
+    send_message(cx, socket, digest, &limits, own_region).await;
 }
 
 /// Sends a short digest to a few random hosts of this host's region, because they can pull a large
@@ -247,15 +263,27 @@
     send_to_all(cx, socket, digest).await;
 }
 
-/// Adds the recent strikes to `digest` and sends it to each of `targets`.
+/// Sends `digest` to each of `targets`, with recent strikes and the next part of the known limits.
 async fn send_digest(
+    cx: &HostContext,
+    socket: &UdpSocket,
+    digest: Digest,
+    targets: impl IntoIterator<Item = SocketAddr>,
+) {
+    let limits = cx.steering.lock().limits_to_share(cx.now());
+    send_message(cx, socket, digest, &limits, targets).await;
+}
+
+/// Adds the recent strikes to `digest` and sends it with `limits` to each of `targets`.
+async fn send_message(
     cx: &HostContext,
     socket: &UdpSocket,
     mut digest: Digest,
+    limits: &[LimitReport],
     targets: impl IntoIterator<Item = SocketAddr>,
 ) {
     digest.strikes = cx.suspects.lock().strikes_to_share(cx.now());
-    let bytes = match postcard::to_stdvec(&digest) {
+    let bytes = match encode_message(&digest, limits) {
         Ok(bytes) => bytes,
         Err(e) => {
             tracing::warn!(event = "digest_not_encoded", error = %e);
--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod gossip;
 mod knowledge;
+mod limits;
 pub mod log;
 mod lookup;
 mod metrics;
--- a/foxtail-entry/src/lookup.rs
+++ b/foxtail-entry/src/lookup.rs
@@ -112,6 +112,11 @@
     let now = cx.now();
     let hosts = cx.fleet.lock().alive_count(now);
     let strikes = cx.suspects.lock().strike_count();
-    cx.metrics.set_gauges(hosts, cx.steering.lock().upstream_count(), strikes);
+    let (upstreams, named_limits) = {
+        let steering = cx.steering.lock();
+        (steering.upstream_count(), steering.named_limit_count())
+    };
+    cx.metrics.set_gauges(hosts, upstreams, strikes);
+    cx.metrics.set_named_limits(named_limits);
     text_response(StatusCode::OK, cx.metrics.page())
 }
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -26,6 +26,8 @@
     hosts: Gauge<u64>,
     upstreams: Gauge<u64>,
     strikes: Gauge<u64>,
+    named_limits: Gauge<u64>,
+    limited_attempts: Counter<u64>,
 }
 
 impl Metrics {
@@ -53,6 +55,14 @@
             hosts: meter.u64_gauge("hosts_alive").build(),
             upstreams: meter.u64_gauge("upstreams_registered").build(),
             strikes: meter.u64_gauge("strikes_kept").build(),
+            named_limits: meter
+                .u64_gauge("upstream_limits_named")
+                .with_description("upstreams that name a limit on their requests")
+                .build(),
+            limited_attempts: meter
+                .u64_counter("limited_attempts_total")
+                .with_description("requests sent to upstreams that name a limit")
+                .build(),
             reader,
             provider,
         }
@@ -103,6 +113,16 @@
         self.digests.add(1, &[]);
     }
 
+    /// Counts a request that is sent to an upstream which names a limit.
+    pub(crate) fn count_limited_attempt(&self, service: &ServiceId) {
+        let labels = [KeyValue::new("service", service.as_str().to_owned())];
+        self.limited_attempts.add(1, &labels);
+    }
+
+    pub(crate) fn set_named_limits(&self, count: usize) {
+        self.named_limits.record(count as u64, &[]);
+    }
+
     pub(crate) fn set_gauges(&self, hosts: usize, upstreams: usize, strikes: usize) {
         self.hosts.record(hosts as u64, &[]);
         self.upstreams.record(upstreams as u64, &[]);
--- a/foxtail-entry/src/ports.rs
+++ b/foxtail-entry/src/ports.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use foxtail_steer::fleet::HostRecord;
 use foxtail_steer::upstream::Load;
-use foxtail_steer::{Config, Upstream};
+use foxtail_steer::{Config, RateLimit, Upstream};
 use foxtail_types::prelude::*;
 use hyper::http::{HeaderMap, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,9 @@
     pub moved: bool,
     /// The upstream's load, if reported.
     pub load: Option<Load>,
+    /// The requests per second that the upstream takes from all hosts together, if it names a
+    /// limit.
+    pub limit: Option<RateLimit>,
     /// How long the upstream keeps an idle connection open, if announced.
     pub idle_timeout: Option<Millis>,
 }
--- a/foxtail-standin/src/upstream.rs
+++ b/foxtail-standin/src/upstream.rs
@@ -82,6 +82,7 @@
     waiting: AtomicU32,
     queued_behaviors: Mutex<VecDeque<Behavior>>,
     default_behavior: Mutex<Behavior>,
+    named_limit: Mutex<Option<f64>>,
     received: Mutex<Vec<ReceivedRequest>>,
     running: AtomicU32,
     cancelled: AtomicU32,
@@ -112,6 +113,7 @@
             waiting: AtomicU32::new(0),
             queued_behaviors: Mutex::default(),
             default_behavior: Mutex::new(Behavior::Answer),
+            named_limit: Mutex::default(),
             received: Mutex::default(),
             running: AtomicU32::new(0),
             cancelled: AtomicU32::new(0),
@@ -154,6 +156,11 @@
         *self.shared.default_behavior.lock() = behavior;
     }
 
+    /// Sets the requests per second that it names as its limit in its answers, or none.
+    pub fn set_named_limit(&self, per_s: Option<f64>) {
+        *self.shared.named_limit.lock() = per_s;
+    }
+
     /// Returns all requests received so far, also refused ones.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         self.shared.received.lock().clone()
@@ -266,9 +273,12 @@
             return Ok(false);
         }
         let waiting = self.waiting.load(Ordering::Relaxed);
+        let named_limit = self.named_limit.lock().map(|per_s| format!("server-limit: {per_s}\r\n"));
         let extra_headers = format!(
-            "foxtailrouter-server-seal: {}.{id}\r\nfoxtailrouter-server-load: {running},{waiting},{}\r\n",
-            self.id, self.slots
+            "foxtailrouter-server-seal: {}.{id}\r\nfoxtailrouter-server-load: {running},{waiting},{}\r\n{}",
+            self.id,
+            self.slots,
+            named_limit.unwrap_or_default()
         );
         let body = format!("{} ran {id}", self.id).into_bytes();
         match behavior {
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 mod estimate;
 pub mod fleet;
+pub mod named_limit;
 mod placement;
 pub mod pull_queue;
 pub mod rendezvous;
@@ -22,6 +23,7 @@
 
 pub use config::{Config, Route};
 pub use fleet::Fleet;
+pub use named_limit::RateLimit;
 pub use pull_queue::PullQueue;
 pub use retry::RetryBudget;
 pub use split::Split;
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -7,6 +7,7 @@
 use foxtail_types::prelude::*;
 
 use crate::estimate::{CacheSize, WorkTimes};
+use crate::named_limit::NamedLimit;
 use crate::shift::ShiftLimiter;
 use crate::upstream::{Load, Upstream};
 use crate::{Config, RetryBudget, Route, Split, TokenBucket, retry};
@@ -110,6 +111,8 @@
     capacity_counted_at: Millis,
     split: Split,
     retry_budget: RetryBudget,
+    /// The upstream from which the next digest reports limits on.
+    pub(crate) next_shared_limit: usize,
 }
 
 /// An upstream's registration and its estimated state.
@@ -122,6 +125,7 @@
     pub(crate) cold_until: Millis,
     /// Limits the requests that are sent while the upstream is cold.
     pub(crate) warm_up_tokens: TokenBucket,
+    pub(crate) named_limit: NamedLimit,
     /// Requests of this host at the upstream.
     pub(crate) own_requests: u32,
     /// Requests of other hosts at the last report.
@@ -210,6 +214,7 @@
             capacity_counted_at: Millis::ZERO,
             split: Split::default(),
             retry_budget,
+            next_shared_limit: 0,
         }
     }
 
@@ -527,6 +532,7 @@
             removed: false,
             cold_until: Millis::ZERO,
             warm_up_tokens: TokenBucket::new(1.0, 1.0, now),
+            named_limit: NamedLimit::default(),
             own_requests: 0,
             other_requests: 0.0,
             other_requests_avg: 0.0,
@@ -551,6 +557,7 @@
         self.backoff_until = Millis::ZERO;
         self.connect_failures = 0;
         self.lost_answers = 0;
+        self.named_limit = NamedLimit::default();
         self.recent_objects = RecentObjects::default();
     }
 
