--- /dev/null
+++ b/foxtail-steer/tests/limits/main.rs
@@ -0,0 +1,110 @@
+//! Upstreams that name limits get no more than that from all hosts together.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod simulation;
+
+use foxtail_types::prelude::*;
+use simulation::{Fault, FaultKind, Limit, Scenario, Simulation};
+
+const NAMED_FROM: Millis = Millis::secs(5);
+
+/// Returns a scenario in which upstreams of each region name limits from 5 s on.
+fn scenario(hosts: usize, seed: u64) -> Scenario {
+    let upstreams = if hosts > 100 { 60 } else { 12 };
+    let limit =
+        |(upstream, per_s)| Limit { upstream, per_s, from: NAMED_FROM, to: Millis::secs(40) };
+    Scenario {
+        hosts,
+        upstreams,
+        requests_per_s: if hosts > 100 { 700.0 } else { 160.0 },
+        length: Millis::secs(40),
+        limits: [(0, 1.7), (3, 0.4), (8, 6.0)].map(limit).to_vec(),
+        faults: Vec::new(),
+        seed,
+    }
+}
+
+fn fault(from_s: u64, to_s: u64, kind: FaultKind) -> Fault {
+    Fault { from: Millis::secs(from_s), to: Millis::secs(to_s), kind }
+}
+
+/// Plays the scenario and checks that no limit is exceeded.
+fn play_within_limits(scenario: Scenario) -> Simulation {
+    let played = Simulation::new(scenario.clone()).play();
+    for limit in &scenario.limits {
+        let (busiest, allowed) = played.busiest_window(limit);
+        assert!(
+            busiest as f64 <= allowed,
+            "u{} with a limit of {} per second got {busiest} requests in 4 s, allowed are {allowed}: \
+             {scenario:?}",
+            limit.upstream,
+            limit.per_s,
+        );
+    }
+    played
+}
+
+#[test]
+fn limit_of_an_upstream_holds_over_18_hosts_that_learn_it_one_after_the_other() {
+    play_within_limits(scenario(18, 1));
+}
+
+#[test]
+fn limit_of_an_upstream_holds_over_142_hosts_that_learn_it_one_after_the_other() {
+    play_within_limits(scenario(142, 1));
+}
+
+#[test]
+fn limit_of_an_upstream_holds_while_hosts_are_cut_off_from_each_other() {
+    for hosts in [18, 142] {
+        let groups: [fn(usize) -> usize; 4] = [|n| n % 2, |n| n % 6, |n| n % 3, |n| n / 3 % 4];
+        for (seed, group_of) in groups.into_iter().enumerate() {
+            let mut scenario = scenario(hosts, seed as u64 + 10);
+            scenario.faults.push(fault(8, 25, FaultKind::Partition(group_of)));
+            play_within_limits(scenario);
+        }
+    }
+}
+
+#[test]
+fn limit_of_an_upstream_holds_while_hosts_restart_freeze_or_are_not_heard() {
+    for hosts in [18, 142] {
+        let mut scenario = scenario(hosts, 20);
+        for n in 0..hosts.min(36) {
+            let from = 7 + (n as u64 * 5) % 24;
+            let kinds = [FaultKind::Restart(n), FaultKind::Freeze(n), FaultKind::Mute(n)];
+            let kind = kinds[n / 6 % 3].clone();
+            scenario.faults.push(fault(from, from + 2 + n as u64 % 6, kind));
+        }
+        scenario.faults.push(fault(10, 30, FaultKind::Loss(20)));
+        play_within_limits(scenario);
+    }
+}
+
+#[test]
+fn limited_upstream_is_used_within_its_limit_and_as_before_once_the_limit_ends() {
+    for hosts in [18, 142] {
+        let mut scenario = scenario(hosts, 30);
+        for limit in &mut scenario.limits {
+            limit.to = Millis::secs(25);
+        }
+        let played = play_within_limits(scenario.clone());
+        for limit in &scenario.limits {
+            let before = played.rate(limit.upstream, Millis::secs(2), NAMED_FROM);
+            let during = played.rate(limit.upstream, Millis::secs(10), limit.to);
+            let after = played.rate(limit.upstream, Millis::secs(35), Millis::secs(40));
+            let Limit { upstream, per_s, .. } = *limit;
+            assert!(
+                (0.3 * per_s..=per_s).contains(&during),
+                "u{upstream} with a limit of {per_s} per second got {during} per second"
+            );
+            assert!(
+                after >= before / 2.0,
+                "u{upstream} got {after} per second after the limit, {before} before it"
+            );
+        }
+        let sent = played.sent_share();
+        assert!(sent > 0.99, "only {sent} of the requests were sent to an upstream");
+    }
+}
