fix(entry): a host without other hosts names itself in look-ups

A host's own heartbeat rose only when it built a digest, and it builds none while it knows no other host. 2.5 s after its start it took itself for dead, named no host in look-ups, and sent nothing to cold upstreams. The periodic task raises it now. Found by the test of a limited upstream on a single host.

host_without_other_hosts_names_itself_in_lookups failed before: no host is named.

--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -151,6 +151,7 @@
         (last_requests, last_tick) = (requests, now);
         let (own_region, other_regions) = {
             let mut fleet = cx.fleet.lock();
+            fleet.beat(now);
             fleet.set_request_rate(rate);
             let (own_region, other_regions) = fleet.digest_targets();
             let own_region =
--- a/foxtail-entry/tests/serving.rs
+++ b/foxtail-entry/tests/serving.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{TestSite, exchange, lookup_body, ready, request, until};
 use foxtail_standin::upstream::Behavior;
+use foxtail_steer::fleet::LIVENESS_TIMEOUT;
 
 #[tokio::test]
 async fn a_request_and_its_response_are_forwarded_unchanged() {
@@ -88,6 +91,19 @@
     first.stop().await;
 }
 
+#[tokio::test]
+async fn host_without_other_hosts_names_itself_in_lookups() {
+    let site = TestSite::new();
+    site.configure(7);
+    let endpoint = site.store_endpoint().await;
+    site.upstream("up-1", "a1").await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    tokio::time::sleep(LIVENESS_TIMEOUT.duration() + Duration::from_millis(500)).await;
+    let own = host.settings().caller.to_string();
+    assert!(lookup_body(&host).await.contains(&own), "no host is named");
+    host.stop().await;
+}
+
 #[tokio::test]
 async fn ambiguous_framing_never_smuggles_a_request_to_an_upstream() {
     let site = TestSite::new();
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -332,12 +332,17 @@
         digest
     }
 
-    fn build_digest(&mut self, now: Millis, reply: bool, all_regions: bool) -> Digest {
+    /// Raises this host's own heartbeat. A host without others to send digests to stays alive by it.
+    pub fn beat(&mut self, now: Millis) {
         let beat = self.beat_offset + now.0;
         let own = self.own_peer();
         own.beat = own.beat.max(beat);
         own.heartbeat_at = Some(now);
-        let from = own.record.clone();
+    }
+
+    fn build_digest(&mut self, now: Millis, reply: bool, all_regions: bool) -> Digest {
+        self.beat(now);
+        let from = self.own_record().clone();
         let own_key = host_key(&from.id);
         let others = self.peers.iter().filter(|(key, peer)| {
             let included = all_regions || peer.record.region == from.region;
