fix(entry): withdraw a request whose permission ended before it was sent

A request is placed before it has a connection. While the connection is made (70 ms to another region, a second after a lost packet) or while the process is paused, its upstream may begin to drain, its zone may be evacuated, its limit may no longer be this host's, or the deadline may pass; the request was sent all the same.

It is checked again right before it is sent. If it may not be, it is withdrawn: nothing was sent, the connection goes to the pool, and the request is placed anew or refused as not run.

request_is_not_sent_to_an_upstream_that_drains_while_the_connection_is_made failed before: the draining upstream ran the request.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -101,6 +101,7 @@
         Outcome::Shed => "shed",
         Outcome::WrongInstance => "moved",
         Outcome::Unreachable => "unreachable",
+        Outcome::Withdrawn => "withdrawn",
         Outcome::Broken => "broken",
         Outcome::TimedOut => "timed-out",
         Outcome::Cancelled => "cancelled",
@@ -154,6 +155,13 @@
             }
         },
     };
+    let now = cx.now();
+    if fwd.deadline <= now || !cx.steering.lock().may_still_send(&up.id, now) {
+        // The connection took long, or the process was paused.
+        guard.report(Outcome::Withdrawn, None);
+        cx.pool.put(&up.id, conn, now);
+        return AttemptOutcome::NotRun(Outcome::Withdrawn);
+    }
     exchange(cx, conn, up, fwd, guard).await
 }
 
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -303,7 +303,7 @@
 
 impl PastAttempts {
     fn record(&mut self, outcome: Outcome, may_have_run: bool) {
-        self.reached += u32::from(outcome != Outcome::Unreachable);
+        self.reached += u32::from(!matches!(outcome, Outcome::Unreachable | Outcome::Withdrawn));
         self.may_have_run |= may_have_run;
         self.timed_out |= outcome == Outcome::TimedOut;
     }
--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -149,6 +149,25 @@
     kept: Arc<Mutex<Vec<Box<dyn Stream>>>>,
 }
 
+/// Connects over TCP, and holds connections back while it is told to.
+#[derive(Clone, Default)]
+pub(crate) struct HoldingDial {
+    pub held: Arc<AtomicBool>,
+    pub waiting: Arc<AtomicBool>,
+}
+
+#[async_trait]
+impl Dial for HoldingDial {
+    async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        let stream = TcpDial.dial(to).await?;
+        while self.held.load(Ordering::Relaxed) {
+            self.waiting.store(true, Ordering::Relaxed);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(stream)
+    }
+}
+
 struct SilentStream {
     inner: Option<Box<dyn Stream>>,
     kept: Arc<Mutex<Vec<Box<dyn Stream>>>>,
--- a/foxtail-entry/tests/serving.rs
+++ b/foxtail-entry/tests/serving.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{TestSite, exchange, lookup_body, metric, ready, request, until};
+use common::{HoldingDial, TestSite, exchange, lookup_body, metric, ready, request, until};
 use foxtail_standin::upstream::Behavior;
 use foxtail_steer::fleet::LIVENESS_TIMEOUT;
 
@@ -305,3 +307,28 @@
     .await;
     host.stop().await;
 }
+
+#[tokio::test]
+async fn request_is_not_sent_to_an_upstream_that_drains_while_the_connection_is_made() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let dial = HoldingDial::default();
+    let host = site.host_with_dial("h-1", "a1", &endpoint, Arc::new(dial.clone())).await;
+    until("the host is ready", async || ready(&host).await).await;
+    let caller = host.settings().caller;
+    dial.held.store(true, Ordering::Relaxed);
+    let text = request("POST", "/write/1", "r1", 5_000, "");
+    let sending = tokio::spawn(async move { exchange(caller, &text).await });
+    until("the host connects", async || dial.waiting.load(Ordering::Relaxed)).await;
+
+    site.store.put("servers", "up-1", &up.registration("books", "a1", "draining", 0.0));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    dial.held.store(false, Ordering::Relaxed);
+
+    let got = sending.await.unwrap();
+    assert_eq!((got.status, got.body.as_str()), (503, "no-upstream"));
+    assert_eq!(up.received_requests(), []);
+    host.stop().await;
+}
--- a/foxtail-steer/src/limited_sending.rs
+++ b/foxtail-steer/src/limited_sending.rs
@@ -129,6 +129,15 @@
         changes
     }
 
+    /// Returns whether a request that was placed earlier may still be sent to `id`: a connection may
+    /// take long, and the process may have been paused meanwhile.
+    pub fn may_still_send(&self, id: &UpstreamId, now: Millis) -> bool {
+        let Some(&index) = self.index_by_id.get(id) else { return false };
+        let state = &self.upstreams[index];
+        let limited = state.named_limit.limit().is_some();
+        self.is_available(state) && (!limited || state.limited_sending.is_permitted(now))
+    }
+
     /// Returns whether the limit that the upstream at `index` names, if any, allows one more request
     /// of this host.
     pub(crate) fn limit_allows(&self, index: usize, now: Millis) -> bool {
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -167,6 +167,8 @@
     WrongInstance,
     /// No connection was made, and nothing was sent.
     Unreachable,
+    /// The request could no longer be sent when the connection was made, and nothing was sent.
+    Withdrawn,
     /// The connection broke, or the received data was not an answer to the request.
     Broken,
     /// No answer arrived in time.
@@ -363,7 +365,7 @@
                 state.record_failure(now);
                 state.record_slowdown(report.took.0 as f64 / work.mean_ms.max(1.0), now);
             }
-            Outcome::Cancelled => {}
+            Outcome::Withdrawn | Outcome::Cancelled => {}
         }
         if self.upstreams[index].removed {
             self.remove_if_idle(index);
--- a/foxtail-steer/tests/limited_sending.rs
+++ b/foxtail-steer/tests/limited_sending.rs
@@ -80,6 +80,19 @@
     assert_eq!(pair.run(Millis(10_000)), [], "sent while hearing two of five hosts");
 }
 
+#[test]
+fn request_is_withdrawn_if_the_pause_before_sending_outlasts_the_permission() {
+    let mut pair = Pair::new();
+    pair.run(Millis(8_000));
+    let id = "u1".parse().unwrap();
+    assert!(pair.steering.may_still_send(&id, pair.now));
+    assert!(!pair.steering.may_still_send(&id, pair.now + Millis(5_000)));
+    let mut draining = upstream("u1", "a1");
+    draining.draining = true;
+    pair.steering.set_upstream(draining, pair.now);
+    assert!(!pair.steering.may_still_send(&id, pair.now));
+}
+
 #[test]
 fn answer_without_limit_to_an_earlier_request_does_not_end_the_limit() {
     let mut pair = Pair::new();
