fix(steer): a host that knows a part of its region only is not in contact with it

A host that starts while the store is out learns of other hosts from their digests, one after the other, and could take the few that it knows for its whole region. It is in contact only after it has read the registrations. The check that replaces this one, for unknown hosts in digests, would have kept a host out of contact that missed a single datagram of another one's start.

host_that_has_not_read_the_registrations_of_hosts_does_not_send; the simulation of 18 and 142 hosts also checks that hosts are in contact in more than 99 of 100 checks while there are no faults.

--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -236,6 +236,7 @@
                             fleet.add_host(record, cx.now());
                         }
                     }
+                    fleet.mark_registrations_read();
                     break;
                 }
                 Err(e) => {
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -153,8 +153,8 @@
     digests_sent: u64,
     /// The newest heartbeat of this host in another host's digest.
     echoed_beat: u64,
-    /// When a digest last contained an unknown host.
-    unknown_host_at: Option<Millis>,
+    /// Whether the registrations of all hosts were read from the store.
+    registrations_read: bool,
 }
 
 /// Determines the hosts that send to cold upstreams and to upstreams with limits, and the entry
@@ -192,7 +192,7 @@
             versions: Versions::default(),
             digests_sent: 0,
             echoed_beat: 0,
-            unknown_host_at: None,
+            registrations_read: false,
         }
     }
 
@@ -279,10 +279,7 @@
         let region = self.own_record().region.clone();
         self.add_host(digest.from.clone(), now);
         for heartbeat in &digest.beats {
-            let Some(peer) = self.peers.get_mut(&heartbeat.host) else {
-                self.unknown_host_at = Some(now);
-                continue;
-            };
+            let Some(peer) = self.peers.get_mut(&heartbeat.host) else { continue };
             if peer.record.id == self.own_id {
                 self.echoed_beat = self.echoed_beat.max(heartbeat.beat);
                 continue;
@@ -432,8 +429,13 @@
         hosts
     }
 
-    /// Returns whether this host is in contact with its region: it hears more than half of the
-    /// region's hosts, and another host has recently heard it. Of the parts of a region that is
+    /// Records that the registrations of all hosts were read from the store.
+    pub fn mark_registrations_read(&mut self) {
+        self.registrations_read = true;
+    }
+
+    /// Returns whether this host is in contact with its region: it knows the region's hosts, hears
+    /// more than half of them, and another host has recently heard it. Of the parts of a region that is
     /// split, at most one is in contact.
     ///
     /// If exactly half of the hosts are heard, the host with the lowest key decides.
@@ -450,8 +452,7 @@
         let hears_most = alive_count * 2 > total || (alive_count * 2 == total && decides_tie);
         let beat = self.beat_offset + now.0;
         let is_heard = alive_count == 1 || beat.saturating_sub(self.echoed_beat) <= ECHO_TIMEOUT.0;
-        let knows_all = self.unknown_host_at.is_none_or(|at| now.since(at) > LIVENESS_TIMEOUT);
-        hears_most && is_heard && knows_all
+        self.registrations_read && hears_most && is_heard
     }
 
     /// Returns whether `peer` counts as a part of its region, dead or alive.
--- a/foxtail-steer/tests/common/mod.rs
+++ b/foxtail-steer/tests/common/mod.rs
@@ -88,6 +88,7 @@
 pub(crate) fn fleet(host: &str, zone: &str, now: Millis) -> Fleet {
     let mut fleet = Fleet::new(record(host, zone), now, Millis::secs(1_000) + now);
     fleet.set_phase(Phase::Serving);
+    fleet.mark_registrations_read();
     fleet
 }
 
--- a/foxtail-steer/tests/limited_sending.rs
+++ b/foxtail-steer/tests/limited_sending.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{config, exchange_digests, fleet, options, record_outcome, route, send, upstream};
-use foxtail_steer::fleet::DIGEST_INTERVAL;
+use foxtail_steer::fleet::{DIGEST_INTERVAL, Phase};
 use foxtail_steer::steering::Outcome;
 use foxtail_steer::{Fleet, RateLimit, Steering};
 use foxtail_types::prelude::*;
@@ -80,6 +80,17 @@
     assert_eq!(pair.run(Millis(10_000)), [], "sent while hearing two of five hosts");
 }
 
+#[test]
+fn host_that_has_not_read_the_registrations_of_hosts_does_not_send() {
+    let mut pair = Pair::new();
+    let record = common::record("h1", "a1");
+    pair.fleets[0] = Fleet::new(record, Millis::ZERO, Millis::secs(1_000));
+    pair.fleets[0].set_phase(Phase::Serving);
+    assert_eq!(pair.run(Millis(10_000)), [], "sent without knowing its region");
+    pair.fleets[0].mark_registrations_read();
+    assert!(!pair.run(Millis(20_000)).is_empty(), "not sent although it knows its region");
+}
+
 #[test]
 fn request_is_withdrawn_if_the_pause_before_sending_outlasts_the_permission() {
     let mut pair = Pair::new();
--- a/foxtail-steer/tests/limits/main.rs
+++ b/foxtail-steer/tests/limits/main.rs
@@ -156,6 +156,8 @@
                 "u{upstream} got {after} per second after the limit, {before} before it"
             );
         }
+        let in_contact = played.contact_share();
+        assert!(in_contact > 0.99, "hosts were in contact in only {in_contact} of the checks");
         let sent = played.sent_share();
         assert!(sent > 0.99, "only {sent} of the requests were sent to an upstream");
     }
--- a/foxtail-steer/tests/limits/simulation.rs
+++ b/foxtail-steer/tests/limits/simulation.rs
@@ -17,6 +17,8 @@
 const NETWORK_DELAY: Millis = Millis(20);
 /// The window in which a platform counts the requests of a limited upstream.
 const WINDOW: Millis = Millis(4_000);
+/// Time within which hosts that start together know each other.
+const JOIN_TIME: Millis = Millis(1_000);
 /// Requests of a host count from this time on after it forwarded an answer with the limit.
 const TOLD_DELAY: Millis = Millis(500);
 
@@ -93,6 +95,9 @@
     named_at: BTreeMap<usize, Millis>,
     sent_count: usize,
     refused_count: usize,
+    /// Periodic checks from [`JOIN_TIME`] on, and those in which the host was in contact.
+    checks: usize,
+    checks_in_contact: usize,
     random: u64,
     now: Millis,
 }
@@ -109,6 +114,8 @@
             named_at: BTreeMap::new(),
             sent_count: 0,
             refused_count: 0,
+            checks: 0,
+            checks_in_contact: 0,
             random,
             now: Millis::ZERO,
         };
@@ -172,6 +179,11 @@
         self.sent_count as f64 / (self.sent_count + self.refused_count).max(1) as f64
     }
 
+    /// Returns the share of the periodic checks in which hosts were in contact.
+    pub(crate) fn contact_share(&self) -> f64 {
+        self.checks_in_contact as f64 / self.checks.max(1) as f64
+    }
+
     fn run_host(&mut self, n: usize) {
         let faults = self.active_faults();
         let frozen =
@@ -208,6 +220,10 @@
         let digest = host.fleet.digest(now, false);
         let limits = host.steering.limits_to_share(now);
         host.steering.update_limit_senders(&host.fleet, now);
+        if now >= JOIN_TIME {
+            self.checks += 1;
+            self.checks_in_contact += usize::from(host.fleet.in_contact(now));
+        }
         let is_reader = host.fleet.is_reader(now);
         let peer = self.random_peer(n, true);
         self.post(n, peer, digest, limits);
@@ -363,6 +379,7 @@
         fleet.add_host(record_of(other), now);
     }
     fleet.set_phase(Phase::Serving);
+    fleet.mark_registrations_read();
     let mut steering = Steering::new(options(&host_name(n), region_of(n)));
     steering.set_config(config(1, 5.0));
     for u in 0..scenario.upstreams {
