fix(steer): cut-off hosts do not all send to a cold upstream

Eight hosts cut off from each other sent 32 requests within a second to an upstream that takes 2.8 a second; 9 are allowed.

A cold upstream's sender has to be in contact with most of its region, and hosts of other regions do not take over from a silent one, as for upstreams with limits; both share one selection.

cold_upstream_receives_at_most_its_allowed_rate_from_hosts_that_are_cut_off_from_each_other failed before with 32 requests.

--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -163,6 +163,7 @@
 pub struct Senders<'f> {
     fleet: &'f Fleet,
     now: Millis,
+    in_contact: Option<bool>,
     by_region: BTreeMap<RegionId, Vec<&'f HostId>>,
 }
 
@@ -465,7 +466,7 @@
     /// Returns the selection of the hosts that send to cold upstreams and upstreams with limits at
     /// `now`.
     pub fn senders(&self, now: Millis) -> Senders<'_> {
-        Senders { fleet: self, now, by_region: BTreeMap::new() }
+        Senders { fleet: self, now, in_contact: None, by_region: BTreeMap::new() }
     }
 
     /// Returns the entry hosts in `region`: the hosts of the region that callers are directed to.
@@ -490,23 +491,18 @@
 }
 
 impl<'f> Senders<'f> {
-    /// Returns the host that sends to the cold upstream `name` of `region`: one of the region's
-    /// entry hosts or, if it has none, one of the entry hosts of this host's own region.
-    pub fn for_cold(&mut self, region: &RegionId, name: &str) -> Option<&'f HostId> {
-        let own_region = &self.fleet.own_record().region;
-        let region = if self.entry_hosts(region).is_empty() { own_region } else { region };
-        let key = rendezvous::hash(name);
-        let hosts = self.entry_hosts(region).iter().copied();
-        hosts.max_by_key(|id| rendezvous::weight(key, id.as_str()))
+    /// Returns whether this host is in contact with its region; only then it sends to cold upstreams
+    /// and upstreams with limits.
+    pub fn in_contact(&mut self) -> bool {
+        *self.in_contact.get_or_insert_with(|| self.fleet.in_contact(self.now))
     }
 
-    /// Returns the hosts that share the limit of the upstream `name` of `region`, at most `count`:
-    /// entry hosts of the region or, if no host belongs to it, of the same other region in every
-    /// host's view.
+    /// Returns the hosts that send to the upstream `name` of `region`, at most `count`: entry hosts
+    /// of the region or, if no host belongs to it, of the same other region in every host's view.
     ///
     /// Hosts of other regions do not take over from a region whose hosts are silent, since these may
     /// only be cut off.
-    pub fn for_limit(&mut self, region: &RegionId, name: &str, count: usize) -> Vec<&'f HostId> {
+    pub fn select(&mut self, region: &RegionId, name: &str, count: usize) -> Vec<&'f HostId> {
         let Some(region) = self.region_with_hosts(region) else { return Vec::new() };
         let key = rendezvous::hash(name);
         let mut hosts = self.entry_hosts(region).to_vec();
--- a/foxtail-steer/src/limited_sending.rs
+++ b/foxtail-steer/src/limited_sending.rs
@@ -113,14 +113,13 @@
         if self.named_limit_count() == 0 {
             return Vec::new();
         }
-        let in_contact = fleet.in_contact(now);
         let mut senders = fleet.senders(now);
         let mut changes = Vec::new();
         for state in &mut self.upstreams {
             let Some(limit) = state.named_limit.limit() else { continue };
             let max_count = max_senders(limit);
-            let selected = senders.for_limit(&state.region, state.up.id.as_str(), max_count);
-            let is_sender = in_contact && selected.contains(&&self.options.host);
+            let selected = senders.select(&state.region, state.up.id.as_str(), max_count);
+            let is_sender = senders.in_contact() && selected.contains(&&self.options.host);
             if state.limited_sending.update(is_sender, selected.len(), limit, now) {
                 let upstream = state.up.id.clone();
                 changes.push(SenderChange { upstream, is_sender, senders: selected.len() });
--- a/foxtail-steer/src/placement.rs
+++ b/foxtail-steer/src/placement.rs
@@ -347,8 +347,10 @@
             return true;
         }
         let state = &self.upstreams[index];
-        let sender = senders.for_cold(&state.region, state.up.id.as_str());
-        sender == Some(&self.options.host) && self.upstreams[index].warm_up_tokens.has_token(now)
+        let sender = senders.select(&state.region, state.up.id.as_str(), 1);
+        sender == [&self.options.host]
+            && senders.in_contact()
+            && self.upstreams[index].warm_up_tokens.has_token(now)
     }
 
     /// Selects the upstreams that should have the request's object cached: the first in this
--- a/foxtail-steer/tests/budgets.rs
+++ b/foxtail-steer/tests/budgets.rs
@@ -287,3 +287,38 @@
         "{retries} retries at once on one of 20 hosts that share a slack of 100"
     );
 }
+
+#[test]
+fn cold_upstream_receives_at_most_its_allowed_rate_from_hosts_that_are_cut_off_from_each_other() {
+    let names = ["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"];
+    let (rate, allowed) = (2.8, 9);
+    for regions in ["aaaaaaaa", "aaabbbcc"] {
+        let zones: Vec<String> = regions.chars().map(|region| format!("{region}1")).collect();
+        let mut fleets: Vec<_> =
+            names.iter().zip(&zones).map(|(name, zone)| fleet(name, zone, Millis(0))).collect();
+        let host = |(name, zone): (&&str, &String)| Steering::new(options(name, &zone[..1]));
+        let mut hosts: Vec<Steering> = names.iter().zip(&zones).map(host).collect();
+        exchange_digests(&mut fleets, Millis(0));
+        let mut sent = Vec::new();
+        for host in &mut hosts {
+            host.set_config(config(1, rate));
+            let mut up = upstream("u1", "a1");
+            up.cold_for = Millis::secs(13);
+            host.set_upstream(up, Millis(0));
+        }
+        for now in (10_000..13_000).step_by(10).map(Millis) {
+            for (host, fleet) in hosts.iter_mut().zip(&mut fleets) {
+                fleet.beat(now);
+                if let Some(up) = send(host, fleet, &route("r"), now.0 / 10 % 24, now) {
+                    sent.push(now);
+                    record_outcome(host, &up.id, 1, Outcome::Answered, Millis(100), now);
+                }
+            }
+        }
+        let busiest = busiest_second(&sent);
+        assert!(
+            busiest <= allowed,
+            "the upstream received {busiest} requests within a second, expected at most {allowed}"
+        );
+    }
+}
