fix(steer): keep the limit of an upstream whose registration lapses and returns

Registrations also lapse while the store is away, and return with the upstream's next report. Hosts forgot the limit with the registration, and sent at full rate until an answer named it again.

limit_outlasts_a_registration_that_lapses_and_returns failed before.

--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -184,7 +184,7 @@
     }
 
     fn remove_upstream(&self, id: &UpstreamId) {
-        self.steering.lock().remove_upstream(id);
+        self.steering.lock().remove_upstream(id, self.now());
         self.pool.retain(|known| known != id);
     }
 }
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -8,7 +8,7 @@
 
 use crate::estimate::{CacheSize, WorkTimes};
 use crate::limited_sending::LimitedSending;
-use crate::named_limit::NamedLimit;
+use crate::named_limit::{NamedLimit, RemovedLimits};
 use crate::shift::ShiftLimiter;
 use crate::upstream::{Load, Upstream};
 use crate::{Config, RetryBudget, Route, Split, TokenBucket, retry};
@@ -114,6 +114,7 @@
     retry_budget: RetryBudget,
     /// The upstream from which the next digest reports limits on.
     pub(crate) next_shared_limit: usize,
+    removed_limits: RemovedLimits,
 }
 
 /// An upstream's registration and its estimated state.
@@ -220,6 +221,7 @@
             split: Split::default(),
             retry_budget,
             next_shared_limit: 0,
+            removed_limits: RemovedLimits::default(),
         }
     }
 
@@ -261,10 +263,10 @@
     }
 
     /// Removes an upstream. Its state is kept until its last request of this host has ended.
-    pub fn remove_upstream(&mut self, id: &UpstreamId) {
+    pub fn remove_upstream(&mut self, id: &UpstreamId, now: Millis) {
         if let Some(&index) = self.index_by_id.get(id) {
             self.upstreams[index].removed = true;
-            self.remove_if_idle(index);
+            self.remove_if_idle(index, now);
         }
     }
 
@@ -368,7 +370,7 @@
             Outcome::Withdrawn | Outcome::Cancelled => {}
         }
         if self.upstreams[index].removed {
-            self.remove_if_idle(index);
+            self.remove_if_idle(index, now);
         }
     }
 
@@ -489,7 +491,9 @@
                 let index = self.upstreams.len();
                 self.index_by_id.insert(up.id.clone(), index);
                 self.indices_by_service.entry(up.service.clone()).or_default().push(index);
-                self.upstreams.push(UpstreamState::new(up, region, now));
+                let named_limit = self.removed_limits.restore(&up, now);
+                self.upstreams
+                    .push(UpstreamState { named_limit, ..UpstreamState::new(up, region, now) });
                 index
             }
         };
@@ -511,12 +515,13 @@
     }
 
     /// Drops the state of a removed upstream that has no requests of this host.
-    fn remove_if_idle(&mut self, index: usize) {
+    fn remove_if_idle(&mut self, index: usize, now: Millis) {
         if self.upstreams[index].own_requests > 0 {
             return;
         }
         let state = self.upstreams.swap_remove(index);
         self.index_by_id.remove(&state.up.id);
+        self.removed_limits.keep(&state.up, state.named_limit, now);
         if let Some(indices) = self.indices_by_service.get_mut(&state.up.service) {
             indices.retain(|&other| other != index);
         }
--- a/foxtail-steer/tests/budgets.rs
+++ b/foxtail-steer/tests/budgets.rs
@@ -239,8 +239,8 @@
             record_outcome(&mut host, &up.id, now.0 / 50 % 8, Outcome::Answered, Millis(100), now);
         }
     }
-    host.remove_upstream(&"a1-0".parse().unwrap());
-    host.remove_upstream(&"a1-1".parse().unwrap());
+    host.remove_upstream(&"a1-0".parse().unwrap(), Millis(5_000));
+    host.remove_upstream(&"a1-1".parse().unwrap(), Millis(5_000));
     let served = (6_000..7_000)
         .step_by(50)
         .filter(|now| {
--- a/foxtail-steer/tests/limited_sending.rs
+++ b/foxtail-steer/tests/limited_sending.rs
@@ -114,3 +114,20 @@
     assert!(ended.is_some_and(|change| change.is_start_or_end()));
     assert!(pair.steering.named_limit(&id).is_none());
 }
+
+#[test]
+fn limit_outlasts_a_registration_that_lapses_and_returns() {
+    let mut pair = Pair::new();
+    let id: UpstreamId = "u1".parse().unwrap();
+    let mut registered = upstream("u1", "a1");
+    registered.started = Some(Millis(7));
+    pair.steering.set_upstream(registered.clone(), Millis(10));
+    pair.steering.remove_upstream(&id, Millis(4_000));
+    pair.steering.set_upstream(registered.clone(), Millis(5_000));
+    assert!(pair.steering.named_limit(&id).is_some(), "the limit was forgotten");
+
+    pair.steering.remove_upstream(&id, Millis(5_500));
+    registered.started = Some(Millis(8));
+    pair.steering.set_upstream(registered, Millis(6_000));
+    assert!(pair.steering.named_limit(&id).is_none(), "a new incarnation named no limit");
+}
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -216,7 +216,7 @@
     let fleet = fleet("h1", "a1", Millis(0));
     let route = route("r");
     let busy = send(&mut host, &fleet, &route, 1, Millis(0)).unwrap().id;
-    host.remove_upstream(&busy);
+    host.remove_upstream(&busy, Millis(1_000));
     assert_eq!(host.upstream_count(), 2);
     record_outcome(&mut host, &busy, 1, Outcome::Answered, Millis(100), Millis(100));
     for object in 0..20 {
