fix(steer): hosts started during a store outage do not each take the whole retry slack

Until it has read the registrations, a host assumes 1,000 hosts.

retries_stay_within_the_budget_while_no_host_has_read_how_many_share_it failed before with 800.

--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -196,7 +196,7 @@
     (body, fingerprint): (Bytes, Fingerprint),
     deadline: Millis,
 ) -> Result<Response<Body>, Refusal> {
-    let hosts = cx.fleet.lock().host_count();
+    let hosts = cx.fleet.lock().hosts_sharing_budgets();
     let service = {
         let mut steering = cx.steering.lock();
         let service = steering.next_service(route).cloned();
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -39,6 +39,10 @@
 /// short enough that upstreams with limits are used again after hosts were lost for good.
 const MEMBERSHIP_TIMEOUT: Millis = Millis::secs(300);
 
+/// Number of hosts that a host assumes to share budgets with before it has read how many there are,
+/// as after a start while the store is out.
+const ASSUMED_HOSTS: usize = 1_000;
+
 /// Age up to which a heartbeat of this host in another host's digest shows that this host is heard.
 /// It spans the rounds of digests that a heartbeat needs to reach most of a region and return.
 const ECHO_TIMEOUT: Millis = Millis(5_000);
@@ -404,6 +408,13 @@
         self.peers.len()
     }
 
+    /// Returns the number of hosts among which budgets of the fleet are divided: all known hosts, or
+    /// [`ASSUMED_HOSTS`] if more before the registrations were read.
+    pub fn hosts_sharing_budgets(&self) -> usize {
+        let assumed = if self.registrations_read { 0 } else { ASSUMED_HOSTS };
+        self.host_count().max(assumed)
+    }
+
     /// Returns the number of hosts that are alive.
     pub fn alive_count(&self, now: Millis) -> usize {
         let region = &self.own_record().region;
--- a/foxtail-steer/src/retry.rs
+++ b/foxtail-steer/src/retry.rs
@@ -26,8 +26,9 @@
 ///
 /// Each host keeps to its part without coordination, so that the fleet keeps to the budget also
 /// when hosts cannot reach each other. A host that is considered dead may still run and send
-/// retries; the slack is therefore divided by [`Fleet::host_count`](crate::Fleet::host_count),
-/// which includes hosts that do not answer.
+/// retries; the slack is therefore divided by
+/// [`Fleet::hosts_sharing_budgets`](crate::Fleet::hosts_sharing_budgets), which includes hosts that do
+/// not answer.
 #[derive(Debug)]
 pub struct RetryBudget {
     options: Options,
--- a/foxtail-steer/tests/budgets.rs
+++ b/foxtail-steer/tests/budgets.rs
@@ -8,7 +8,7 @@
     config, exchange_digests, fleet, options, record_outcome, route, send, service, upstream,
 };
 use foxtail_steer::steering::Outcome;
-use foxtail_steer::{RetryBudget, Split, Steering, config::WeightedService, retry};
+use foxtail_steer::{Fleet, RetryBudget, Split, Steering, config::WeightedService, retry};
 use foxtail_types::prelude::*;
 use proptest::prelude::*;
 
@@ -288,6 +288,25 @@
     );
 }
 
+#[test]
+fn retries_stay_within_the_budget_while_no_host_has_read_how_many_share_it() {
+    let service = service();
+    let names: Vec<String> = (0..20).map(|n| format!("h{n}")).collect();
+    let fleets = names
+        .iter()
+        .map(|name| Fleet::new(common::record(name, "a1"), Millis(0), Millis::secs(1_000)));
+    let mut hosts: Vec<_> =
+        fleets.map(|fleet| (fleet, RetryBudget::new(options("h1", "a").retry))).collect();
+    let mut retries = 0;
+    for now in (0..10_000).step_by(50).map(Millis) {
+        for (fleet, budget) in &mut hosts {
+            let sharing = fleet.hosts_sharing_budgets();
+            retries += u32::from(budget.try_take(&service, sharing, now));
+        }
+    }
+    assert!(retries <= 100, "{retries} retries without requests, expected at most 100");
+}
+
 #[test]
 fn cold_upstream_receives_at_most_its_allowed_rate_from_hosts_that_are_cut_off_from_each_other() {
     let names = ["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"];
