feat(entry): follow a store that is restored from an older copy

The store may come back from a copy some seconds old, with versions that go back and are given out again. Hosts compared versions only, took the store's answers for older ones until its counter had passed the known version, and then missed changes under versions that were given out twice; their own registrations stayed lost.

The adapter puts the number of restorations (Store-Era) above the counter of each version, so that versions rise, also between hosts, and a call for changes across a restoration leads to a reading of all rows. From these rows nothing older than what is known applies: not a configuration, a drain, a removal or an evacuation that the copy lacks, nor the end of one; missing registrations count as lapsed. All rows are read once more after 6 s, when the platform has written again what was lost. Hosts register again.

The stand-in can be copied and restored. The new test fails when the number of restorations is ignored, as before: the host is not registered again.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -47,6 +47,8 @@
     pub(crate) buffered_body_bytes: AtomicU64,
     /// The facts that are being sent to other hosts.
     pub(crate) transfers: Mutex<TransferLimit>,
+    /// The version of the store at which the host is registered; 0 before.
+    pub(crate) registered_version: AtomicU64,
     /// The number of connections on which other hosts pull.
     pub(crate) pull_conns: AtomicU64,
 }
@@ -88,6 +90,7 @@
             requests: AtomicU64::new(0),
             buffered_body_bytes: AtomicU64::new(0),
             transfers: Mutex::default(),
+            registered_version: AtomicU64::new(0),
             pull_conns: AtomicU64::new(0),
         }
     }
--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -32,6 +32,10 @@
 /// outage.
 const LAPSED_WINDOW: Millis = Millis(2_200);
 
+/// How long after the store was restored from an older copy all rows are read once more. By then
+/// what was lost is written again, and registrations of upstreams that are gone have lapsed.
+const RESTORED_READ_DELAY: Millis = Millis(6_000);
+
 /// How long a starting host waits for digests before it decides whether to read the store.
 const INITIAL_LISTEN: Millis = Millis(400);
 
@@ -54,6 +58,8 @@
     pause: Millis,
     /// Until when removed registrations count as possibly lapsed.
     lapsed_until: Millis,
+    /// When all rows are read once more after the store was restored.
+    read_again_at: Option<Millis>,
 }
 
 /// Follows `area` of the store until the host ends.
@@ -68,6 +74,7 @@
         failing_since: None,
         pause: INITIAL_RETRY_PAUSE,
         lapsed_until: Millis::ZERO,
+        read_again_at: None,
     };
     ended.run_until_cancelled(follower.run()).await;
 }
@@ -84,7 +91,10 @@
             }
             if !reads {
                 tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
-            } else if self.must_read_all || self.cx.known_version(self.area) == 0 {
+            } else if self.must_read_all
+                || self.cx.known_version(self.area) == 0
+                || self.read_again_at.is_some_and(|at| at <= self.cx.now())
+            {
                 self.read_all().await;
             } else {
                 self.read_changes().await;
@@ -108,7 +118,14 @@
         match read {
             Ok(facts) => {
                 self.record_success();
-                let lapsed = self.cx.now() < self.lapsed_until;
+                let now = self.cx.now();
+                let lapsed = now < self.lapsed_until;
+                self.read_again_at = self.read_again_at.filter(|at| *at > now);
+                if self.cx.is_restored_at(self.area, facts.version) {
+                    tracing::warn!(event = "store_restored", area = ?self.area,
+                        version = facts.version, known = self.cx.known_version(self.area));
+                    self.read_again_at = Some(now + RESTORED_READ_DELAY);
+                }
                 if self.cx.apply_facts(self.area, facts, lapsed, "store") {
                     self.must_read_all = false;
                     self.cx.notify_peers.notify_one();
@@ -129,6 +146,10 @@
             Some(_) => OUTAGE_POLL_TIMEOUT,
             None => LONG_POLL_TIMEOUT,
         };
+        let wait = match self.read_again_at {
+            Some(at) => wait.min(at.since(call_started)),
+            None => wait,
+        };
         let changes = self.cx.store.changes(self.area, version, wait).await;
         self.record_call("changes", &changes, call_started);
         match changes {
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::HostContext;
-use crate::ports::Area;
+use crate::ports::{Area, StoreVersion};
 use crate::pull;
 
 /// The maximum size of a received digest, in bytes.
@@ -138,6 +138,7 @@
             () = cx.lifecycle.ended.cancelled() => return,
         }
         cx.remove_lapsed_upstreams();
+        renew_registration(&cx);
         let now = cx.now();
         if now.since(last_cleanup) >= CLEANUP_INTERVAL {
             last_cleanup = now;
@@ -219,14 +220,45 @@
     send_digest(cx, socket, digest, own_region.into_iter().chain(other_regions)).await;
 }
 
+/// Registers the host in the store, and tries again until it has succeeded.
+async fn register(cx: &HostContext) {
+    let record = cx.fleet.lock().own_record().clone();
+    loop {
+        match cx.store.register(&record).await {
+            Ok(version) => {
+                cx.registered_version.store(version, Ordering::Relaxed);
+                return;
+            }
+            Err(e) => tracing::warn!(event = "not_registered", error = %e),
+        }
+        tokio::time::sleep(REGISTER_RETRY_PAUSE.duration()).await;
+    }
+}
+
+/// Registers the host again if the store was restored from a copy, which may lack the registration.
+fn renew_registration(cx: &Arc<HostContext>) {
+    let restorations = |version| StoreVersion::from_number(version).restorations;
+    let known = cx.known_version(Area::Operators).max(cx.known_version(Area::Upstreams));
+    let registered = cx.registered_version.load(Ordering::Relaxed);
+    if registered == 0
+        || restorations(known) <= restorations(registered)
+        || cx.lifecycle.is_leaving()
+    {
+        return;
+    }
+    // Keeps the next period from registering a second time.
+    cx.registered_version.store(known, Ordering::Relaxed);
+    tracing::info!(event = "registers_again", version = known);
+    let cx = Arc::clone(cx);
+    cx.tasks.clone().spawn(async move {
+        cx.lifecycle.ended.clone().run_until_cancelled(register(&cx)).await;
+    });
+}
+
 /// Registers the host, reads the other hosts' registrations and announces itself to them.
 pub(crate) async fn join(cx: Arc<HostContext>, socket: Arc<UdpSocket>) {
     let joining = async {
-        let record = cx.fleet.lock().own_record().clone();
-        while let Err(e) = cx.store.register(&record).await {
-            tracing::warn!(event = "not_registered", error = %e);
-            tokio::time::sleep(REGISTER_RETRY_PAUSE.duration()).await;
-        }
+        register(&cx).await;
         loop {
             match cx.store.read(Area::Hosts).await {
                 Ok(facts) => {
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -93,6 +93,12 @@
         self.store_replica.lock().area(area).map_or(0, |replica| replica.read_version())
     }
 
+    /// Returns whether the store was restored between the known version of `area` and `version`.
+    pub(crate) fn is_restored_at(&self, area: Area, version: u64) -> bool {
+        let mut store_replica = self.store_replica.lock();
+        store_replica.area(area).is_some_and(|replica| replica.is_restored_at(version))
+    }
+
     /// Applies facts received from `source`. Returns `false` if they are older than the known
     /// version.
     ///
--- a/foxtail-entry/src/ports.rs
+++ b/foxtail-entry/src/ports.rs
@@ -98,17 +98,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Forgotten`] if the store no longer has the changes; all rows must then be
-    /// read again. Returns another [`Error`] if the call failed.
+    /// Returns [`Error::Forgotten`] if the store no longer has the changes, or was restored from an
+    /// older copy; all rows must then be read again. Returns another [`Error`] if the call failed.
     async fn changes(&self, area: Area, version: u64, wait: Millis) -> Result<Facts, Error>;
 
-    /// Registers a host.
+    /// Registers a host, and returns the version at which it is registered.
     ///
     /// # Errors
     ///
     /// Returns [`Error`] if the call failed. The host may be registered nevertheless; registering
     /// is idempotent.
-    async fn register(&self, record: &HostRecord) -> Result<(), Error>;
+    async fn register(&self, record: &HostRecord) -> Result<u64, Error>;
 
     /// Removes a host's registration.
     ///
@@ -118,6 +118,32 @@
     async fn unregister(&self, host: &HostId) -> Result<(), Error>;
 }
 
+/// A version of the store. As a number it rises with every change, also when the store is restored
+/// from an older copy and counts its changes anew from there.
+#[id]
+pub struct StoreVersion {
+    /// How often the store was restored.
+    pub restorations: u64,
+    /// The store's counter of changes.
+    pub counter: u64,
+}
+
+impl StoreVersion {
+    /// Number of bits of the counter. It suffices for 1,000 changes a second over 34 years.
+    const COUNTER_BITS: u32 = 40;
+
+    /// Returns the version as a number.
+    pub fn to_number(self) -> u64 {
+        self.restorations << Self::COUNTER_BITS | self.counter
+    }
+
+    /// Returns the version that `number` stands for.
+    pub fn from_number(number: u64) -> Self {
+        let counter = number & ((1 << Self::COUNTER_BITS) - 1);
+        Self { restorations: number >> Self::COUNTER_BITS, counter }
+    }
+}
+
 /// A part of the store whose rows and changes are read separately.
 #[id]
 pub enum Area {
--- a/foxtail-entry/src/replica.rs
+++ b/foxtail-entry/src/replica.rs
@@ -5,7 +5,7 @@
 
 use foxtail_types::prelude::*;
 
-use crate::ports::{Fact, Facts};
+use crate::ports::{Fact, Facts, StoreVersion};
 
 /// The maximum number of tombstones: removed rows that are kept so that other hosts learn of the
 /// removal.
@@ -55,11 +55,16 @@
     /// If `facts` are all rows of the area, rows that did not change keep their versions, so that
     /// other hosts do not pull them again, and other rows are removed; `lapsed` says that
     /// registrations among them may have lapsed during a store outage.
+    ///
+    /// The rows of a store that was restored from an older copy lack what was written since, until it
+    /// is written again. Rows that are older than what is known do not apply, and nothing that is
+    /// missing counts as removed at once.
     pub(crate) fn apply(&mut self, facts: Facts, lapsed: bool, now: Millis) -> Option<Vec<Fact>> {
         let complete_to = facts.version.max(facts.read_version);
         if complete_to < self.version {
             return None;
         }
+        let restored = facts.whole && self.is_restored_at(facts.version);
         if facts.whole {
             self.skip_versions(facts.version);
         }
@@ -67,8 +72,14 @@
         if !facts.whole && facts.facts.is_empty() {
             return Some(Vec::new());
         }
-        let mut changed = if facts.whole { self.removals(&facts, lapsed) } else { Vec::new() };
-        changed.extend(facts.facts.into_iter().filter(|fact| !facts.whole || !self.holds(fact)));
+        let mut changed =
+            if facts.whole { self.removals(&facts, lapsed || restored) } else { Vec::new() };
+        if restored {
+            changed.retain(|fact| matches!(fact, Fact::UpstreamGone { .. }));
+        }
+        changed.extend(facts.facts.into_iter().filter(|fact| {
+            !facts.whole || !(self.holds(fact) || (restored && self.holds_newer(fact)))
+        }));
         self.version = self.version.max(facts.version);
         for fact in &changed {
             let row = Row { version: facts.version, learned_at: now, fact: fact.clone() };
@@ -114,6 +125,28 @@
         }
     }
 
+    /// Returns whether the store was restored between the known version and `version`.
+    pub(crate) fn is_restored_at(&self, version: u64) -> bool {
+        let restorations = |version| StoreVersion::from_number(version).restorations;
+        self.version > 0 && restorations(version) > restorations(self.version)
+    }
+
+    /// Returns whether the known row of `fact` was written later than `fact`, which comes from an
+    /// older copy of the store.
+    fn holds_newer(&self, fact: &Fact) -> bool {
+        let Some(row) = row_key(fact).and_then(|key| self.rows.get(&key)) else { return false };
+        match (&row.fact, fact) {
+            (Fact::Config(known), Fact::Config(cfg)) => known.version > cfg.version,
+            (Fact::Evacuation { on: known, .. }, Fact::Evacuation { on, .. }) => known != on,
+            (Fact::Upstream(known), Fact::Upstream(up)) => {
+                known.started > up.started
+                    || (known.started == up.started && known.draining && !up.draining)
+            }
+            (Fact::UpstreamGone { .. }, Fact::Upstream(_)) => true,
+            _ => false,
+        }
+    }
+
     /// Returns whether the row of `fact` is known as it is.
     fn holds(&self, fact: &Fact) -> bool {
         let row = row_key(fact).and_then(|key| self.rows.get(&key));
--- a/foxtail-entry/tests/following.rs
+++ b/foxtail-entry/tests/following.rs
@@ -11,6 +11,7 @@
 use foxtail_entry::Host;
 use foxtail_standin::caller::Request;
 use foxtail_standin::store::{Fault, StoreEndpoint};
+use foxtail_standin::upstream::UpstreamServer;
 use tokio::time::Instant;
 
 async fn status(host: &Host, path: &str) -> u16 {
@@ -361,3 +362,53 @@
     assert_eq!(removed.runs(), before, "requests went to an upstream that is gone");
     host.stop().await;
 }
+
+#[tokio::test]
+async fn store_restored_from_an_older_copy_takes_nothing_back_and_its_new_changes_apply() {
+    let site = TestSite::new();
+    site.configure(7);
+    let leaving = site.upstream("up-1", "a1").await;
+    let gone = site.upstream("up-2", "a1").await;
+    let evacuated = site.upstream("up-3", "a2").await;
+    let copy = site.store.copy();
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    let staying = site.upstream("up-4", "a1").await;
+    site.configure_with_extra_routes(9, 1);
+    site.store.put("op", "evacuate/a2", b"{}");
+    site.store.put("servers", "up-1", &leaving.registration("books", "a1", "draining", 0.0));
+    site.store.delete_row("servers", "up-2");
+    until("the changes are in force", async || status(&host, "/extra-0/1").await == 200).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let runs = || (leaving.runs(), gone.runs(), evacuated.runs());
+    let before = runs();
+
+    site.store.restore(copy);
+    let restored_at = Instant::now();
+    while restored_at.elapsed() < Duration::from_millis(1_500) {
+        request_many_objects(&host).await;
+        assert_eq!(status(&host, "/extra-0/1").await, 200, "the newer configuration was dropped");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(runs(), before, "an upstream that drained, left or was evacuated is in use again");
+    // Operators and upstreams write again what the copy lacks.
+    let registration = |up: &UpstreamServer, state| up.registration("books", "a1", state, 0.0);
+    site.store.put("servers", "up-4", &registration(&staying, "ready"));
+    site.store.put("servers", "up-1", &registration(&leaving, "draining"));
+    site.store.delete_row("servers", "up-2");
+    site.store.put("op", "evacuate/a2", b"{}");
+    site.configure_with_extra_routes(9, 1);
+    let added = site.upstream("up-5", "a1").await;
+    site.store.put("servers", "up-4", &registration(&staying, "draining"));
+    until("an upstream registered under a version given out again is used", async || {
+        request_many_objects(&host).await;
+        added.runs() > 0
+    })
+    .await;
+    until("the host is registered again", async || site.store.value("hosts", "h-1").is_some())
+        .await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    request_many_objects(&host).await;
+    assert_eq!(runs(), before, "in use again after all rows were read once more");
+    host.stop().await;
+}
--- a/foxtail-standin/src/store/endpoint.rs
+++ b/foxtail-standin/src/store/endpoint.rs
@@ -177,7 +177,11 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |req| {
         let shared = Arc::clone(&shared);
-        async move { shared.answer(req).await }
+        async move {
+            let mut answer = shared.answer(req).await?;
+            answer.headers_mut().insert("store-era", shared.store.restorations().into());
+            Ok::<_, CloseConnection>(answer)
+        }
     });
     let conn = hyper::server::conn::http1::Builder::new();
     if let Err(e) = conn.serve_connection(TokioIo::new(stream), service).await {
--- a/foxtail-standin/src/store/mod.rs
+++ b/foxtail-standin/src/store/mod.rs
@@ -9,4 +9,4 @@
 
 pub use config::config;
 pub use endpoint::{CallCounts, Fault, RateLimits, StoreEndpoint};
-pub use rows::Store;
+pub use rows::{Store, StoreCopy};
--- a/foxtail-standin/src/store/rows.rs
+++ b/foxtail-standin/src/store/rows.rs
@@ -29,8 +29,10 @@
     started: Instant,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    /// How often the store was restored from a copy.
+    restorations: u64,
     version: u64,
     rows: BTreeMap<RowKey, (u64, String)>,
     /// The version and the row of each change, the oldest first.
@@ -40,6 +42,9 @@
     objects: BTreeMap<String, Vec<u8>>,
 }
 
+/// A copy of the store's contents.
+pub struct StoreCopy(State);
+
 /// A row in an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub(super) struct RowEntry {
@@ -142,6 +147,25 @@
         BASE64_STANDARD.decode(value).ok()
     }
 
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().clone())
+    }
+
+    /// Restores the contents of `copy`. Versions given out since are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.lock();
+        let restorations = state.restorations + 1;
+        *state = State { restorations, ..copy.0 };
+        // Wakes the feed calls that wait.
+        self.changed.send_replace(state.version);
+    }
+
+    /// Returns how often the store was restored.
+    pub(super) fn restorations(&self) -> u64 {
+        self.state.lock().restorations
+    }
+
     /// Drops the history, so that a feed call from an earlier version is answered with status 410.
     pub fn clear_history(&self) {
         let mut state = self.state.lock();
@@ -212,7 +236,7 @@
     /// longer has all of these changes.
     pub(super) fn read_feed(&self, table: &str, after: u64) -> Option<Page> {
         let state = self.state.lock();
-        if after < state.dropped_version {
+        if after < state.dropped_version || after > state.version {
             return None;
         }
         let mut row_keys: Vec<RowKey> = Vec::new();
