fix(entry): answers that never end are cut off at the deadline

An answer of over 128 KB was streamed to the caller without a limit in time, so that a body without end lasted until the caller left; a refusal whose body came slowly or without end held up the next attempt.

A streamed answer that has not ended at the request's deadline breaks off, which the caller sees as an incomplete answer, with the log line answer_cut_off. The body of a refusal is awaited for 20 ms, else its connection is dropped. A response head may have 64 KB, not 400 KB.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::http::header::CONTENT_LENGTH;
 use hyper::http::{HeaderMap, Method, Uri};
 use hyper::{Request, Response, Version as HttpVersion};
+use tokio::time::{Instant, timeout_at};
 
 use crate::context::HostContext;
 use crate::pool::Conn;
@@ -21,6 +22,10 @@
 /// can be retried at another upstream if the connection breaks in the middle.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 128 * 1024;
 
+/// How long the body of a refusal is awaited so that its connection can be reused. It normally comes
+/// with the head.
+const REFUSAL_BODY_TIMEOUT: Millis = Millis(20);
+
 /// A request to be forwarded.
 pub(crate) struct ForwardedRequest<'a> {
     pub(crate) id: &'a str,
@@ -221,7 +226,9 @@
         }
         Ok(ResponseBody::Partial(start, rest)) => {
             guard.report(Outcome::Answered, Some(&info));
-            AttemptOutcome::Answered(Response::from_parts(head, chain_body(start, rest)))
+            let left = fwd.deadline.since(cx.now());
+            let body = chain_body(start, rest, left, fwd.id);
+            AttemptOutcome::Answered(Response::from_parts(head, body))
         }
         Err(e) => {
             tracing::info!(event = "answer_broke_off", request = fwd.id, upstream = %up.id,
@@ -233,8 +240,8 @@
 }
 
 /// Returns the connection to the pool after a response which proves that the request did not run,
-/// if its body is complete within [`MAX_BUFFERED_RESPONSE_BYTES`] and the address still belongs to
-/// this upstream.
+/// if its body is complete within [`REFUSAL_BODY_TIMEOUT`] and [`MAX_BUFFERED_RESPONSE_BYTES`], and
+/// the address still belongs to this upstream.
 async fn return_to_pool(
     cx: &HostContext,
     mut conn: Conn,
@@ -242,7 +249,8 @@
     info: &ResponseInfo,
     body: Incoming,
 ) {
-    if let Ok(ResponseBody::Complete(_)) = read_body(body).await
+    let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT.duration(), read_body(body)).await;
+    if let Ok(Ok(ResponseBody::Complete(_))) = read
         && !info.moved
     {
         conn.idle_timeout = info.idle_timeout;
@@ -269,13 +277,24 @@
     Ok(ResponseBody::Complete(buf.freeze()))
 }
 
-/// Returns a body that consists of `start` followed by `rest`.
-fn chain_body(start: Bytes, rest: Incoming) -> Body {
+/// Returns a body that consists of `start` followed by `rest`. It breaks off if `rest` does not end
+/// within `left`.
+fn chain_body(start: Bytes, rest: Incoming, left: Millis, request: &str) -> Body {
     let first = futures::stream::once(async move { Ok(Frame::data(start)) });
-    let rest = rest.into_data_stream();
-    let rest = futures::StreamExt::map(rest, |data| match data {
-        Ok(data) => Ok(Frame::data(data)),
-        Err(e) => Err(BodyError::from(e)),
+    let deadline = Instant::now() + left.duration();
+    let request = request.to_owned();
+    let rest = futures::stream::unfold(Some(rest.into_data_stream()), move |rest| {
+        let request = request.clone();
+        async move {
+            let mut rest = rest?;
+            match timeout_at(deadline, futures::StreamExt::next(&mut rest)).await {
+                Ok(data) => Some((data?.map(Frame::data).map_err(BodyError::from), Some(rest))),
+                Err(e) => {
+                    tracing::info!(event = "answer_cut_off", request);
+                    Some((Err(BodyError::from(e)), None))
+                }
+            }
+        }
     });
     StreamBody::new(futures::StreamExt::chain(first, rest)).boxed_unsync()
 }
--- a/foxtail-entry/src/pool.rs
+++ b/foxtail-entry/src/pool.rs
@@ -26,6 +26,10 @@
 /// request ran.
 const MAX_IDLE_NON_IDEMPOTENT: Millis = Millis(2_000);
 
+/// The maximum size of a response head, in bytes. A larger one ends the connection, also one that
+/// never ends.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// The maximum number of idle connections per upstream.
 const MAX_IDLE_CONNS_PER_UPSTREAM: usize = 16;
 
@@ -98,6 +102,7 @@
     pub(crate) async fn connect(&self, up: &Upstream, now: Millis) -> io::Result<Conn> {
         let stream = self.dial.dial(up.addr).await?;
         let (sender, conn) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
--- /dev/null
+++ b/foxtail-entry/tests/endless.rs
@@ -0,0 +1,70 @@
+//! Upstreams whose answers never end, in the head or in the body.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{TestSite, exchange, request, until};
+use foxtail_standin::upstream::Behavior;
+
+const DEADLINE_MS: u64 = 1_000;
+/// By when after its deadline a request has to be over.
+const SLACK: Duration = Duration::from_millis(500);
+
+#[tokio::test]
+async fn head_that_never_ends_ends_the_request_and_the_connection() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    up.queue_behaviors([Behavior::EndlessHead]);
+
+    let began = Instant::now();
+    let text = request("POST", "/write/1", "r1", DEADLINE_MS, "");
+    let got = exchange(host.settings().caller, &text).await;
+
+    assert_eq!(got.status, 502);
+    assert!(began.elapsed() < Duration::from_millis(DEADLINE_MS) + SLACK);
+    until("the connection is closed", async || up.endless_answers_closed() == 1).await;
+    host.stop().await;
+}
+
+#[tokio::test]
+async fn body_that_never_ends_is_cut_off_at_the_deadline_and_does_not_look_complete() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    up.queue_behaviors([Behavior::EndlessBody]);
+
+    let began = Instant::now();
+    let text = request("GET", "/read/1", "r1", DEADLINE_MS, "");
+    let got = exchange(host.settings().caller, &text).await;
+
+    assert!(!got.is_complete, "an endless answer looks complete");
+    assert!(began.elapsed() < Duration::from_millis(DEADLINE_MS) + SLACK);
+    until("the connection is closed", async || up.endless_answers_closed() == 1).await;
+    host.stop().await;
+}
+
+#[tokio::test]
+async fn refusal_whose_body_never_ends_does_not_hold_up_the_next_attempt() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let other = site.upstream("up-2", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    up.set_behavior(Behavior::ShedEndlessly);
+    other.set_behavior(Behavior::ShedEndlessly);
+
+    let began = Instant::now();
+    let text = request("GET", "/read/1", "r1", DEADLINE_MS, "");
+    let got = exchange(host.settings().caller, &text).await;
+
+    assert_eq!(got.status, 503);
+    assert!(began.elapsed() < Duration::from_millis(DEADLINE_MS / 2), "{:?}", began.elapsed());
+    host.stop().await;
+}
--- a/foxtail-standin/src/upstream.rs
+++ b/foxtail-standin/src/upstream.rs
@@ -35,6 +35,12 @@
     AnswerTwice,
     /// Counts it as run and never answers.
     Silent,
+    /// Runs it and sends a head that never ends, until the caller closes the connection.
+    EndlessHead,
+    /// Runs it and sends a body that never ends, until the caller closes the connection.
+    EndlessBody,
+    /// Refuses it with status 503, does not run it, and sends a body that never ends.
+    ShedEndlessly,
     /// Runs it and answers without `Content-Length`; the end of the connection ends the body.
     CloseDelimited,
 }
@@ -86,6 +92,7 @@
     received: Mutex<Vec<ReceivedRequest>>,
     running: AtomicU32,
     cancelled: AtomicU32,
+    endless_answers_closed: AtomicU32,
     connections: AtomicU32,
     slots: u32,
 }
@@ -117,6 +124,7 @@
             received: Mutex::default(),
             running: AtomicU32::new(0),
             cancelled: AtomicU32::new(0),
+            endless_answers_closed: AtomicU32::new(0),
             connections: AtomicU32::new(0),
             slots,
         });
@@ -176,6 +184,11 @@
         self.shared.cancelled.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of endless answers during which the caller closed the connection.
+    pub fn endless_answers_closed(&self) -> u32 {
+        self.shared.endless_answers_closed.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of connections that it accepted.
     pub fn connections(&self) -> u32 {
         self.shared.connections.load(Ordering::Relaxed)
@@ -260,6 +273,13 @@
             let extra_headers = "foxtailrouter-not-executed: 1\r\n";
             return send_answer(stream, 503, &id, extra_headers, b"").await.map(|()| true);
         }
+        if behavior == Behavior::ShedEndlessly {
+            let head = format!(
+                "HTTP/1.1 503 -\r\nfoxtailrouter-request-id: {id}\r\n\
+                 foxtailrouter-not-executed: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+            );
+            return self.send_endlessly(stream, &head, b"4\r\nmore\r\n").await;
+        }
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let slot = unless_disconnected(stream, self.free_slots.acquire()).await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
@@ -298,6 +318,16 @@
                 stream.write_all(&text[..text.len() - body.len() / 2]).await?;
                 return Ok(false);
             }
+            Behavior::EndlessHead => {
+                return self.send_endlessly(stream, "HTTP/1.1 200 OK\r\nx-filler: ", b"more").await;
+            }
+            Behavior::EndlessBody => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n{extra_headers}\
+                     transfer-encoding: chunked\r\n\r\n"
+                );
+                return self.send_endlessly(stream, &head, b"4\r\nmore\r\n").await;
+            }
             Behavior::CloseDelimited => {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n{extra_headers}\r\n"
@@ -306,13 +336,27 @@
                 stream.write_all(&body).await?;
                 return Ok(false);
             }
-            Behavior::Answer | Behavior::Shed | Behavior::Silent => {
+            Behavior::Answer | Behavior::Shed | Behavior::ShedEndlessly | Behavior::Silent => {
                 send_answer(stream, 200, &id, &extra_headers, &body).await?
             }
         }
         Ok(true)
     }
 
+    /// Sends `start` and then `filler` again and again, until the caller closes the connection.
+    async fn send_endlessly(
+        &self,
+        stream: &mut TcpStream,
+        start: &str,
+        filler: &[u8],
+    ) -> io::Result<bool> {
+        stream.write_all(start.as_bytes()).await?;
+        let block = filler.repeat(1_024);
+        while stream.write_all(&block).await.is_ok() {}
+        self.endless_answers_closed.fetch_add(1, Ordering::Relaxed);
+        Ok(false)
+    }
+
     /// Waits for the work time of the request. Returns false if the caller disconnects first.
     async fn work_on(&self, stream: &TcpStream, behavior: &Behavior, object: &str) -> bool {
         if *behavior == Behavior::Silent {
