fix(entry): a refusal of another request is no proof that this one did not run

A 421 counted as the upstream's refusal of the request whatever identifier it carried. A second copy of such an answer, late on a connection that is in use again, was taken for the answer to the next request: one that must not be repeated was sent to another upstream, or called not run, while it ran. An answer that names another request is foreign now, with status 421 too; one that names none is accepted as before with this status only.

refusal_of_another_request_does_not_pass_for_proof_that_a_request_did_not_run failed before: 503, with the request run at both upstreams. Two more tests pass on the code as it was: a late second copy of a 200 goes to nobody, and an unframed answer that is reset does not look complete.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -202,7 +202,12 @@
         }
     };
     let info = cx.protocol.parse_response(response.status(), response.headers());
-    if info.id.as_deref() != Some(fwd.id) && !info.moved {
+    // The present owner of an address that was reassigned may answer without an identifier.
+    let is_foreign = match &info.id {
+        Some(id) => id != fwd.id,
+        None => !info.moved,
+    };
+    if is_foreign {
         // A surplus response to an earlier request: the state of this connection is unknown.
         tracing::warn!(event = "foreign_answer", request = fwd.id, upstream = %up.id,
             answers = info.id.as_deref().unwrap_or("-"));
--- a/foxtail-entry/tests/once.rs
+++ b/foxtail-entry/tests/once.rs
@@ -257,3 +257,56 @@
         host.stop().await;
     }
 }
+
+#[tokio::test]
+async fn late_second_copy_of_an_answer_is_not_given_to_the_next_request_on_the_connection() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    let caller = host.settings().caller;
+    up.queue_behaviors([Behavior::AnswerAgainAfter(Duration::from_millis(100))]);
+    up.set_work_time(Duration::from_millis(10));
+
+    let first = exchange(caller, &request("POST", "/write/1", "r1", 1_500, "")).await;
+    let second = exchange(caller, &request("POST", "/write/1", "r2", 1_500, "")).await;
+
+    assert_eq!((first.status, first.body.as_str()), (200, "up-1 ran r1"));
+    assert_eq!(up.connections(), 1, "the second request was sent on another connection");
+    assert_eq!(second.status, 502, "{}", second.body);
+    host.stop().await;
+}
+
+#[tokio::test]
+async fn refusal_of_another_request_does_not_pass_for_proof_that_a_request_did_not_run() {
+    let site = TestSite::new();
+    site.configure(7);
+    let ups = [site.upstream("up-1", "a1").await, site.upstream("up-2", "a1").await];
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    for up in &ups {
+        up.set_behavior(Behavior::MisdirectAnother);
+    }
+
+    let got = exchange(host.settings().caller, &request("POST", "/write/1", "r1", 1_500, "")).await;
+
+    assert_eq!(got.status, 502, "{}", got.body);
+    assert_eq!(ups[0].runs() + ups[1].runs(), 1);
+    host.stop().await;
+}
+
+#[tokio::test]
+async fn unframed_answer_that_is_reset_on_the_way_does_not_look_complete() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    up.set_behavior(Behavior::ResetUnframed);
+
+    let got = exchange(host.settings().caller, &request("POST", "/write/1", "r1", 1_500, "")).await;
+
+    assert_eq!(got.status, 502, "{}", got.body);
+    host.stop().await;
+}
--- a/foxtail-standin/src/upstream.rs
+++ b/foxtail-standin/src/upstream.rs
@@ -35,6 +35,12 @@
     AnswerTwice,
     /// Counts it as run and never answers.
     Silent,
+    /// Runs it, answers, and sends the answer once more after this time.
+    AnswerAgainAfter(Duration),
+    /// Runs it and answers with status 421 and the identifier of another request.
+    MisdirectAnother,
+    /// Runs it, answers without `Content-Length`, and resets the connection within the body.
+    ResetUnframed,
     /// Runs it and sends a head that never ends, until the caller closes the connection.
     EndlessHead,
     /// Runs it and sends a body that never ends, until the caller closes the connection.
@@ -313,6 +319,23 @@
                 send_answer(stream, 200, &id, &extra_headers, &body).await?;
                 send_answer(stream, 200, &id, &extra_headers, b"surplus").await?;
             }
+            Behavior::AnswerAgainAfter(delay) => {
+                send_answer(stream, 200, &id, &extra_headers, &body).await?;
+                tokio::time::sleep(delay).await;
+                send_answer(stream, 200, &id, &extra_headers, &body).await?;
+            }
+            Behavior::MisdirectAnother => send_answer(stream, 421, "another", "", b"").await?,
+            Behavior::ResetUnframed => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n{extra_headers}\r\n"
+                );
+                stream.write_all(head.as_bytes()).await?;
+                stream.write_all(&body[..body.len() / 2]).await?;
+                // Closing with no time to linger sends a reset; first the bytes have to arrive.
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                stream.set_zero_linger()?;
+                return Ok(false);
+            }
             Behavior::TruncateBody => {
                 let text = encode_answer(200, &id, &extra_headers, &body);
                 stream.write_all(&text[..text.len() - body.len() / 2]).await?;
