fix(entry): a stop answers requests on connections that were just accepted

At two fifths of the stop timeout all connections without a request in progress were closed at once, also one whose caller had just connected, and connections that waited to be accepted were reset. A request whose first byte came a moment later was cut off without an answer.

A stop now accepts the connections that wait and leaves those without a request open for another 300 ms.

request_on_a_connection_that_was_just_accepted_is_answered_during_a_stop failed before: no answer.

--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -15,7 +15,7 @@
 
 use crate::context::HostContext;
 use crate::ports::{Area, Protocol, Store};
-use crate::serve::{ListenerKind, accept_http, listen};
+use crate::serve::{LAST_REQUEST_TIME, ListenerKind, accept_http, listen};
 use crate::settings::Settings;
 use crate::{follow, gossip, operator, share};
 
@@ -156,8 +156,10 @@
         let close_idle_at = stop_started + Millis(stop_timeout.0 * CLOSE_IDLE_PERCENT / 100);
         tokio::time::sleep(close_idle_at.since(cx.now()).duration()).await;
         cx.lifecycle.closing.cancel();
-        caller_conns.close();
         let cut_off_at = stop_started + Millis(stop_timeout.0 * CUT_OFF_PERCENT / 100);
+        // Connections that waited to be accepted are still being added.
+        tokio::time::sleep(LAST_REQUEST_TIME.min(cut_off_at.since(cx.now())).duration()).await;
+        caller_conns.close();
         let left = cut_off_at.since(cx.now()).duration();
         let finished = tokio::time::timeout(left, caller_conns.wait()).await.is_ok();
         let cut_off = if finished { 0 } else { caller_conns.len() };
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use foxtail_net::http::Body;
 use foxtail_types::prelude::*;
+use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,6 +29,10 @@
 /// The minimum size that the HTTP library accepts for the buffer of a request's head, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
+/// How long a stop leaves connections open that have no request in progress, after it has accepted
+/// the last ones: their callers may have sent a request that is not read yet.
+pub(crate) const LAST_REQUEST_TIME: Millis = Millis(300);
+
 /// The kind of requests that a listener accepts.
 #[id]
 pub(crate) enum ListenerKind {
@@ -54,8 +59,8 @@
     socket.listen(LISTEN_BACKLOG).with_context(listen_error)
 }
 
-/// Accepts connections until `stop` is cancelled, and calls `on_conn` with each connection and its
-/// remote address.
+/// Accepts connections until `stop` is cancelled and those that wait then, and calls `on_conn` with
+/// each connection and its remote address.
 pub(crate) async fn accept(
     listener: TcpListener,
     kind: ListenerKind,
@@ -71,6 +76,9 @@
             }
         }
     }
+    while let Some(Ok((stream, from))) = listener.accept().now_or_never() {
+        on_conn(stream, from.ip());
+    }
 }
 
 /// Accepts connections until `stop` is cancelled, and spawns a task in `conns` that serves HTTP on
@@ -112,7 +120,7 @@
     tokio::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        () = closing.cancelled() => {
+        () = last_request_time_over(&closing) => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -122,6 +130,12 @@
     }
 }
 
+/// Waits until connections without a request in progress are closed.
+async fn last_request_time_over(closing: &CancellationToken) {
+    closing.cancelled().await;
+    tokio::time::sleep(LAST_REQUEST_TIME.duration()).await;
+}
+
 async fn respond(
     cx: Arc<HostContext>,
     req: Request<Incoming>,
--- a/foxtail-entry/tests/once.rs
+++ b/foxtail-entry/tests/once.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
-use common::{TestSite, exchange, request, until};
+use common::{TestSite, exchange, exchange_on, request, until};
 use foxtail_standin::upstream::{Behavior, UpstreamServer};
+use tokio::net::TcpStream;
 
 #[tokio::test]
 async fn a_non_idempotent_request_that_may_have_run_is_not_retried_and_gets_502() {
@@ -310,3 +311,24 @@
     assert_eq!(got.status, 502, "{}", got.body);
     host.stop().await;
 }
+
+#[tokio::test]
+async fn request_on_a_connection_that_was_just_accepted_is_answered_during_a_stop() {
+    let site = TestSite::new();
+    site.configure(7);
+    let _up = site.upstream("up-1", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    let caller = host.settings().caller;
+    // Idle connections are closed after two fifths of the stop timeout of 2 s.
+    let stopping = tokio::spawn(host.stop());
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let mut stream = TcpStream::connect(caller).await.expect("the host still accepts connections");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let got = exchange_on(&mut stream, &request("POST", "/write/1", "r1", 900, "")).await;
+
+    assert_eq!(got.status, 200, "{}", got.body);
+    assert_eq!(got.headers["connection"], "close");
+    stopping.await.unwrap();
+}
