--- a/foxtail-steer/tests/limits/main.rs
+++ b/foxtail-steer/tests/limits/main.rs
@@ -57,19 +57,27 @@
     play_within_limits(scenario(142, 1));
 }
 
-#[test]
-fn limit_of_an_upstream_holds_while_hosts_are_cut_off_from_each_other() {
-    for hosts in [18, 142] {
-        let groups: [fn(usize) -> usize; 6] =
-            [|n| n % 2, |n| n % 6, |n| n % 3, |n| n / 3 % 4, |n| n / 6, |n| n];
-        for (seed, group_of) in groups.into_iter().enumerate() {
-            let mut scenario = scenario(hosts, seed as u64 + 10);
-            scenario.faults.push(fault(8, 25, FaultKind::Partition(group_of)));
-            play_within_limits(scenario);
-        }
+/// Plays a fleet whose hosts are cut off from each other, in parts of several sizes.
+fn play_partitions(hosts: usize) {
+    let groups: [fn(usize) -> usize; 6] =
+        [|n| n % 2, |n| n % 6, |n| n % 3, |n| n / 3 % 4, |n| n / 6, |n| n];
+    for (seed, group_of) in groups.into_iter().enumerate() {
+        let mut scenario = scenario(hosts, seed as u64 + 10);
+        scenario.faults.push(fault(8, 25, FaultKind::Partition(group_of)));
+        play_within_limits(scenario);
     }
 }
 
+#[test]
+fn limit_of_an_upstream_holds_while_18_hosts_are_cut_off_from_each_other() {
+    play_partitions(18);
+}
+
+#[test]
+fn limit_of_an_upstream_holds_while_142_hosts_are_cut_off_from_each_other() {
+    play_partitions(142);
+}
+
 #[test]
 fn limit_of_an_upstream_holds_while_hosts_restart_freeze_or_are_not_heard() {
     for hosts in [18, 142] {
