fix(entry): only a success ends the limit of an upstream

A failed answer, also one of an upstream's own errors, may lack the header without saying that the limit has ended; all hosts would have sent at full rate until the next answer named it again.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -214,7 +214,7 @@
         guard.report(Outcome::Broken, None);
         return AttemptOutcome::MayHaveRun(Outcome::Broken);
     }
-    cx.record_limit(up, &info, guard.started);
+    cx.record_limit(up, response.status(), &info, guard.started);
     if info.moved || info.not_run {
         let outcome = if info.moved { Outcome::WrongInstance } else { Outcome::Shed };
         guard.report(outcome, Some(&info));
--- a/foxtail-entry/src/limits.rs
+++ b/foxtail-entry/src/limits.rs
@@ -6,6 +6,7 @@
 use foxtail_steer::limited_sending::SenderChange;
 use foxtail_steer::named_limit::{LimitChange, LimitReport};
 use foxtail_types::prelude::*;
+use hyper::StatusCode;
 
 use crate::context::HostContext;
 use crate::ports::ResponseInfo;
@@ -13,9 +14,15 @@
 impl HostContext {
     /// Records the limit in an answer of `up` to a request that was sent at `sent_at`, and informs
     /// other hosts if it began or ended.
-    pub(crate) fn record_limit(&self, up: &Upstream, info: &ResponseInfo, sent_at: Millis) {
-        if info.moved || (info.not_run && info.limit.is_none()) {
-            // A refusal does not say that a limit ended.
+    pub(crate) fn record_limit(
+        &self,
+        up: &Upstream,
+        status: StatusCode,
+        info: &ResponseInfo,
+        sent_at: Millis,
+    ) {
+        // A refusal or failure does not say that a limit ended, since it may lack other headers too.
+        if info.moved || (info.limit.is_none() && !status.is_success()) {
             return;
         }
         let change = self.steering.lock().record_limit(&up.id, info.limit, sent_at, self.now());
--- a/foxtail-entry/tests/serving.rs
+++ b/foxtail-entry/tests/serving.rs
@@ -300,8 +300,15 @@
     assert!(refused > 50, "only {refused} refusals");
     assert_eq!(metric(&host, "upstream_limits_named").await, Some(1.0));
     up.set_named_limit(None);
+    up.set_behavior(Behavior::Fail(500));
+    until("a failure that names no limit arrives", async || {
+        exchange(caller, &request("GET", "/read/1", "r2", 1_000, "")).await.status == 500
+    })
+    .await;
+    assert_eq!(metric(&host, "upstream_limits_named").await, Some(1.0));
+    up.set_behavior(Behavior::Answer);
     until("the limit has ended", async || {
-        exchange(caller, &request("GET", "/read/1", "r2", 1_000, "")).await;
+        exchange(caller, &request("GET", "/read/1", "r3", 1_000, "")).await;
         metric(&host, "upstream_limits_named").await == Some(0.0)
     })
     .await;
