--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -21,6 +21,7 @@
 mod token_bucket;
 pub mod transfer_limit;
 pub mod upstream;
+mod upstream_state;
 
 pub use config::{Config, Route};
 pub use fleet::Fleet;
