--- a/foxtail-entry/tests/once.rs
+++ b/foxtail-entry/tests/once.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{TestSite, exchange, exchange_on, request, until};
+use foxtail_standin::caller::Request;
 use foxtail_standin::upstream::{Behavior, UpstreamServer};
 use tokio::net::TcpStream;
 
@@ -332,3 +333,30 @@
     assert_eq!(got.headers["connection"], "close");
     stopping.await.unwrap();
 }
+
+#[tokio::test]
+async fn request_that_crashes_upstreams_is_barred_although_other_upstreams_answer_it_with_500() {
+    let site = TestSite::new();
+    site.configure(7);
+    let mut failing = Vec::new();
+    let mut crashing = Vec::new();
+    for n in 0..4 {
+        failing.push(site.upstream(&format!("up-fails-{n}"), "a1").await);
+        crashing.push(site.upstream(&format!("up-crashes-{n}"), "a1").await);
+        crashing.push(site.upstream(&format!("up-crashes-too-{n}"), "a2").await);
+    }
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    failing.iter().for_each(|up| up.set_behavior(Behavior::Fail(500)));
+    crashing.iter().for_each(|up| up.set_behavior(Behavior::RunAndClose));
+    for n in 0..40 {
+        let (id, timeout) = (format!("r{n}"), Duration::from_millis(1_500));
+        let (method, path, object) = ("POST", "/write/bad", n);
+        let text =
+            Request { method, host: "svc.example", path, id: &id, object, timeout, body: "" };
+        exchange(host.settings().caller, &text.encode()).await;
+    }
+    let crashes: usize = crashing.iter().map(|up| up.runs()).sum();
+    assert_eq!(crashes, 3, "upstreams that the request crashed");
+    host.stop().await;
+}
--- /dev/null
+++ b/foxtail-steer/tests/crashes.rs
@@ -0,0 +1,203 @@
+//! Fleets of 18 and 142 hosts in virtual time, to whose hosts a caller sends a request that crashes
+//! each upstream which runs it.
+
+use foxtail_steer::suspects::{Fingerprint, MAX_STRIKES, Suspects};
+use foxtail_types::prelude::*;
+
+const FLEET_SIZES: [usize; 2] = [18, 142];
+const REGIONS: usize = 3;
+const READERS_PER_REGION: usize = 2;
+const DIGEST_INTERVAL: Millis = Millis(400);
+const STEP: Millis = Millis(100);
+/// Time between two requests of the caller.
+const CALLER_INTERVAL: Millis = Millis(300);
+/// Retries count from this long after the third crash on.
+const SETTLING_TIME: Millis = Millis::secs(4);
+const ALLOWED_LATE_RETRIES: usize = 3;
+
+/// Something that happens to a host.
+#[derive(Clone, Copy)]
+enum Event {
+    /// The connections under this many other requests break.
+    Resets(usize),
+    /// The host starts again without its memory.
+    Restart,
+}
+
+struct Fleet {
+    hosts: Vec<Suspects>,
+    events: Vec<(Millis, usize, Event)>,
+    crashes: Vec<Millis>,
+    broken: u64,
+    random: u64,
+}
+
+impl Fleet {
+    fn new(hosts: usize, events: Vec<(Millis, usize, Event)>, seed: u64) -> Self {
+        let hosts = (0..hosts).map(|_| Suspects::default()).collect();
+        let random = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        Self { hosts, events, crashes: Vec::new(), broken: 0, random }
+    }
+
+    /// Plays until `end`, and returns the number of retries that reached an upstream later than
+    /// [`SETTLING_TIME`] after the third crash.
+    fn late_retries(mut self, end: Millis) -> usize {
+        let mut now = Millis::ZERO;
+        while now < end {
+            for (at, host, event) in self.events.clone() {
+                if at == now {
+                    self.apply(host, event, now);
+                }
+            }
+            if now.0.is_multiple_of(DIGEST_INTERVAL.0) {
+                (0..self.hosts.len()).for_each(|host| self.send_digests(host, now));
+            }
+            if now.0.is_multiple_of(CALLER_INTERVAL.0) {
+                let host = self.below(self.hosts.len());
+                self.send_faulty_request(host, now);
+            }
+            now = now + STEP;
+        }
+        let counted_from = self.crashes.get(MAX_STRIKES - 1).map(|third| *third + SETTLING_TIME);
+        self.crashes.iter().filter(|at| counted_from.is_some_and(|from| **at > from)).count()
+    }
+
+    fn apply(&mut self, host: usize, event: Event, now: Millis) {
+        match event {
+            Event::Resets(count) => {
+                for _ in 0..count {
+                    self.broken += 1;
+                    let request = fingerprint(&format!("/healthy/{}", self.broken));
+                    let upstream = upstream_id(self.broken % 48);
+                    self.hosts[host].record_strike(request, &upstream, None, now);
+                }
+            }
+            Event::Restart => {
+                self.hosts[host] = Suspects::default();
+                // All hosts reply to the digest of a host that starts.
+                for other in (0..self.hosts.len()).filter(|other| *other != host) {
+                    self.send_digest(other, host, now);
+                }
+            }
+        }
+    }
+
+    fn send_faulty_request(&mut self, host: usize, now: Millis) {
+        let request = fingerprint("/faulty");
+        if self.hosts[host].barred_for(request, now).is_some() {
+            return;
+        }
+        self.crashes.push(now);
+        let upstream = upstream_id(1_000 + self.crashes.len() as u64);
+        let strikes = self.hosts[host].record_strike(request, &upstream, None, now);
+        if strikes >= Some(MAX_STRIKES - 1) {
+            self.notify_region(host, now);
+        }
+    }
+
+    fn send_digests(&mut self, from: usize, now: Millis) {
+        let to = self.random_host(|to| to != from && region(to) == region(from));
+        self.send_digest(from, to, now);
+        if from / REGIONS < READERS_PER_REGION {
+            let to = self.random_host(|to| region(to) != region(from));
+            self.send_digest(from, to, now);
+        }
+    }
+
+    fn send_digest(&mut self, from: usize, to: usize, now: Millis) {
+        let mut reached_notice = false;
+        for strike in self.hosts[from].strikes_to_share(now) {
+            let strikes = self.hosts[to].add_shared_strike(&strike, now);
+            reached_notice |= strikes >= Some(MAX_STRIKES - 1);
+        }
+        if reached_notice {
+            self.notify_region(to, now);
+        }
+    }
+
+    fn notify_region(&mut self, from: usize, now: Millis) {
+        let strikes = self.hosts[from].strikes_to_share(now);
+        for to in (0..self.hosts.len()).filter(|to| *to != from && region(*to) == region(from)) {
+            for strike in &strikes {
+                self.hosts[to].add_shared_strike(strike, now);
+            }
+        }
+    }
+
+    fn random_host(&mut self, is_candidate: impl Fn(usize) -> bool) -> usize {
+        loop {
+            let host = self.below(self.hosts.len());
+            if is_candidate(host) {
+                return host;
+            }
+        }
+    }
+
+    fn below(&mut self, bound: usize) -> usize {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        ((self.random >> 11) % bound as u64) as usize
+    }
+}
+
+fn region(host: usize) -> usize {
+    host % REGIONS
+}
+
+fn fingerprint(path: &str) -> Fingerprint {
+    Fingerprint::new("127.0.0.1", "GET", "svc.example", path, b"")
+}
+
+fn upstream_id(n: u64) -> UpstreamId {
+    format!("u{n}").parse().unwrap()
+}
+
+#[test]
+fn request_that_crashes_upstreams_is_barred_while_connections_of_other_requests_break() {
+    for hosts in FLEET_SIZES {
+        for seed in 0..20 {
+            // A third of the hosts loses its connections three times, a second apart.
+            let cut_off = (0..hosts).filter(|host| host % 3 == (host / 3) % 3);
+            let resets = cut_off.flat_map(|host| {
+                [0, 1, 2].map(|second| (Millis::secs(second), host, Event::Resets(20)))
+            });
+            let fleet = Fleet::new(hosts, resets.collect(), seed);
+            let late = fleet.late_retries(Millis::secs(30));
+            assert!(
+                late <= ALLOWED_LATE_RETRIES,
+                "{late} late retries, {hosts} hosts, seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn request_that_crashes_upstreams_stays_barred_while_all_hosts_restart_in_turn() {
+    for hosts in FLEET_SIZES {
+        for seed in 0..20 {
+            let restarts = (0..hosts).map(|n| {
+                (Millis(20_000 + 100 * (n as u64 * 400 / hosts as u64)), n, Event::Restart)
+            });
+            let fleet = Fleet::new(hosts, restarts.collect(), seed);
+            let late = fleet.late_retries(Millis::secs(80));
+            assert!(
+                late <= ALLOWED_LATE_RETRIES,
+                "{late} late retries, {hosts} hosts, seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn request_that_crashes_upstreams_stays_barred_after_connections_of_many_others_broke() {
+    for hosts in FLEET_SIZES {
+        let resets = (0..20).map(|second| {
+            let at = Millis::secs(20 + second);
+            (at, second as usize % hosts, Event::Resets(2_000))
+        });
+        let fleet = Fleet::new(hosts, resets.collect(), 1);
+        let late = fleet.late_retries(Millis::secs(60));
+        assert!(late <= ALLOWED_LATE_RETRIES, "{late} late retries, {hosts} hosts");
+    }
+}
