fix(steer): hosts that start learn which requests are barred

Callers saw upstreams crash again under a request that had already crashed three: strikes were shared for 10 s only, so that a host which started later knew none and allowed three more.

Strikes against barred requests are now shared for as long as they count, up to 2 requests in each digest in turn, beside the newest strikes against others.

--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -309,7 +309,7 @@
     send_message(cx, socket, digest, &limits, targets).await;
 }
 
-/// Adds the recent strikes to `digest` and sends it with `limits` to each of `targets`.
+/// Adds strikes to `digest` and sends it with `limits` to each of `targets`.
 async fn send_message(
     cx: &HostContext,
     socket: &UdpSocket,
--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -6,8 +6,9 @@
 //! between, no host sends the request any more. One answer clears the request: connections that
 //! break under a healthy request are faults of upstreams and links.
 //!
-//! Hosts share strikes in their digests. A host that receives no digests still stops after three
-//! strikes of its own, so that a request causes at most three crashes for each isolated host.
+//! Hosts share strikes in their digests, those against barred requests for as long as they count:
+//! hosts that start later have to learn of them. A host that receives no digests still stops after
+//! three strikes of its own, so that a request causes at most three crashes for each isolated host.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -23,13 +24,17 @@
 /// How long a strike counts. A caller with a faulty request retries it for minutes, not for hours.
 const STRIKE_LIFETIME: Millis = Millis::secs(600);
 
-/// How long a strike is shared with other hosts. It spans several rounds of digests through all
-/// regions.
+/// How long a strike against a request that is not barred is shared with other hosts. It spans
+/// several rounds of digests through all regions.
 const STRIKE_SHARE_PERIOD: Millis = Millis::secs(10);
 
 /// Most strikes in one digest, so that the digest fits into one datagram.
 const MAX_SHARED_STRIKES: usize = 16;
 
+/// Most barred requests in one digest, which leaves room for other strikes. Successive digests cover
+/// all of them.
+const MAX_SHARED_BARS: usize = 2;
+
 /// Most requests that are tracked. The request whose latest strike is the oldest is evicted first.
 const MAX_SUSPECT_REQUESTS: usize = 1_024;
 
@@ -51,7 +56,10 @@
 /// The requests that broke connections, with their strikes.
 #[derive(Debug, Default)]
 pub struct Suspects {
+    /// The strikes against each request, the oldest first.
     requests: HashMap<Fingerprint, Vec<StoredStrike>>,
+    /// The last barred request in the previous digest.
+    last_shared_bar: Option<Fingerprint>,
 }
 
 /// A strike as this host stores it.
@@ -116,30 +124,38 @@
 
     /// Returns how long `request` must not be sent, or `None` if it may be sent.
     pub fn barred_for(&self, request: Fingerprint, now: Millis) -> Option<Millis> {
-        let strikes = self.requests.get(&request)?;
-        let mut expiries: Vec<Millis> =
-            strikes.iter().map(|strike| strike.at + STRIKE_LIFETIME).collect();
-        expiries.sort_unstable_by(|a, b| b.cmp(a));
-        expiries
-            .get(MAX_STRIKES - 1)
-            .filter(|expiry| **expiry > now)
-            .map(|expiry| expiry.since(now))
+        let decisive = decisive_strike(self.requests.get(&request)?)?;
+        let expiry = decisive.at + STRIKE_LIFETIME;
+        (expiry > now).then(|| expiry.since(now))
     }
 
-    /// Returns the strikes to share with other hosts, the newest first.
-    pub fn strikes_to_share(&self, now: Millis) -> Vec<Strike> {
-        let all = self.requests.iter().flat_map(|(request, strikes)| {
-            strikes.iter().map(|strike| Strike {
-                request: *request,
-                upstream: strike.upstream,
-                age: now.since(strike.at),
-            })
-        });
-        let mut found: Vec<Strike> =
-            all.filter(|strike| strike.age <= STRIKE_SHARE_PERIOD).collect();
-        found.sort_by_key(|strike| strike.age);
-        found.truncate(MAX_SHARED_STRIKES);
-        found
+    /// Returns the strikes to share with other hosts: those against the next barred requests, and
+    /// the newest ones against others.
+    pub fn strikes_to_share(&mut self, now: Millis) -> Vec<Strike> {
+        let (barred, others): (Vec<_>, Vec<_>) =
+            self.requests.iter().partition(|(_, strikes)| is_barred(strikes, now));
+        let barred = next_requests(barred, self.last_shared_bar);
+        let last_shared_bar = barred.last().map(|(request, _)| **request);
+        let to_share = |request: &Fingerprint, strike: &StoredStrike| Strike {
+            request: *request,
+            upstream: strike.upstream,
+            age: now.since(strike.at),
+        };
+        let mut shared: Vec<Strike> = Vec::new();
+        for (request, strikes) in barred {
+            let newest = strikes.iter().rev().take(MAX_STRIKES);
+            shared.extend(newest.map(|strike| to_share(request, strike)));
+        }
+        let mut recent: Vec<Strike> = others
+            .into_iter()
+            .flat_map(|(request, strikes)| strikes.iter().map(|strike| to_share(request, strike)))
+            .filter(|strike| strike.age <= STRIKE_SHARE_PERIOD)
+            .collect();
+        recent.sort_by_key(|strike| strike.age);
+        recent.truncate(MAX_SHARED_STRIKES - shared.len());
+        shared.extend(recent);
+        self.last_shared_bar = last_shared_bar;
+        shared
     }
 
     fn insert(&mut self, request: Fingerprint, strike: StoredStrike, now: Millis) -> Option<usize> {
@@ -154,7 +170,8 @@
         if strikes.iter().any(|known| known.upstream == strike.upstream) {
             return None;
         }
-        strikes.push(strike);
+        let index = strikes.partition_point(|known| known.at <= strike.at);
+        strikes.insert(index, strike);
         Some(strikes.len())
     }
 
@@ -173,3 +190,24 @@
 fn is_current(strike: &StoredStrike, now: Millis) -> bool {
     now.since(strike.at) <= STRIKE_LIFETIME
 }
+
+/// Returns the oldest of the [`MAX_STRIKES`] newest strikes, with whose expiry a bar ends.
+fn decisive_strike(strikes: &[StoredStrike]) -> Option<&StoredStrike> {
+    strikes.iter().rev().nth(MAX_STRIKES - 1)
+}
+
+fn is_barred(strikes: &[StoredStrike], now: Millis) -> bool {
+    decisive_strike(strikes).is_some_and(|strike| is_current(strike, now))
+}
+
+/// Returns up to [`MAX_SHARED_BARS`] of `requests`, beginning with the one that follows `last`.
+fn next_requests<'s>(
+    mut requests: Vec<(&'s Fingerprint, &'s Vec<StoredStrike>)>,
+    last: Option<Fingerprint>,
+) -> Vec<(&'s Fingerprint, &'s Vec<StoredStrike>)> {
+    requests.sort_unstable_by_key(|(request, _)| **request);
+    let covered = requests.partition_point(|(request, _)| Some(**request) <= last);
+    requests.rotate_left(covered);
+    requests.truncate(MAX_SHARED_BARS);
+    requests
+}
