fix(steer): strikes against other requests do not evict a bar

A full table now drops the request with the fewest strikes first. Nobody has a reason to keep a single strike, which most often is the fault of a link.

--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -35,7 +35,7 @@
 /// all of them.
 const MAX_SHARED_BARS: usize = 2;
 
-/// Most requests that are tracked. The request whose latest strike is the oldest is evicted first.
+/// Most requests that are tracked; a request with few strikes is evicted first.
 const MAX_SUSPECT_REQUESTS: usize = 1_024;
 
 /// A stable hash of a request: its caller, method, host, path and body.
@@ -163,7 +163,7 @@
             return None;
         }
         if !self.requests.contains_key(&request) && self.requests.len() == MAX_SUSPECT_REQUESTS {
-            self.evict_oldest(now);
+            self.evict_one(now);
         }
         let strikes = self.requests.entry(request).or_default();
         strikes.retain(|known| is_current(known, now));
@@ -175,13 +175,19 @@
         Some(strikes.len())
     }
 
-    fn evict_oldest(&mut self, now: Millis) {
+    /// Makes room for one more request. Drops the one with the fewest strikes, since a bar must
+    /// outlast strikes against requests that connections break under by chance; of several, the one
+    /// whose latest strike is the oldest.
+    fn evict_one(&mut self, now: Millis) {
         self.requests.retain(|_, strikes| strikes.iter().any(|strike| is_current(strike, now)));
-        let newest = |strikes: &[StoredStrike]| strikes.iter().map(|strike| strike.at).max();
-        let oldest = self.requests.iter().min_by_key(|(_, strikes)| newest(strikes));
-        if let Some(request) = oldest.map(|(request, _)| *request)
-            && self.requests.len() == MAX_SUSPECT_REQUESTS
-        {
+        if self.requests.len() < MAX_SUSPECT_REQUESTS {
+            return;
+        }
+        let rank = |strikes: &[StoredStrike]| {
+            (strikes.len().min(MAX_STRIKES), strikes.last().map(|strike| strike.at))
+        };
+        let least = self.requests.iter().min_by_key(|(_, strikes)| rank(strikes));
+        if let Some(request) = least.map(|(request, _)| *request) {
             self.requests.remove(&request);
         }
     }
