fix(entry): an answer with status 5xx does not clear a request of strikes

Callers saw a request crash upstream after upstream where others answered it with 500 in between: each such answer cleared its strikes, so that it never got the third. An upstream that fails may do so before it runs what crashes others, so that only other answers clear a request now.

The test is corrected: it counted an upstream twice that ran the request twice without crashing in between, so that its first form would have failed after any fix as well. It now counts different upstreams, against the same bound, and answers 500 at fixed turns; in this form it failed before.

--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -266,7 +266,10 @@
         attempts.upstreams.push(up.id.clone());
         match attempt(cx, &up, &fwd, estimate.wait_ms).await {
             AttemptOutcome::Answered(response) => {
-                cx.suspects.lock().clear(fingerprint);
+                // An upstream that fails may do so before it runs what crashes others.
+                if !response.status().is_server_error() {
+                    cx.suspects.lock().clear(fingerprint);
+                }
                 request_log.record_response(cx, &service, response.status());
                 return Ok(strip_response(response));
             }
--- a/foxtail-entry/tests/once.rs
+++ b/foxtail-entry/tests/once.rs
@@ -338,25 +338,26 @@
 async fn request_that_crashes_upstreams_is_barred_although_other_upstreams_answer_it_with_500() {
     let site = TestSite::new();
     site.configure(7);
-    let mut failing = Vec::new();
-    let mut crashing = Vec::new();
-    for n in 0..4 {
-        failing.push(site.upstream(&format!("up-fails-{n}"), "a1").await);
-        crashing.push(site.upstream(&format!("up-crashes-{n}"), "a1").await);
-        crashing.push(site.upstream(&format!("up-crashes-too-{n}"), "a2").await);
+    let mut ups = Vec::new();
+    for n in 0..12 {
+        ups.push(site.upstream(&format!("up-{n}"), "a1").await);
     }
     let endpoint = site.store_endpoint().await;
     let host = site.ready_host("h-1", "a1", &endpoint).await;
-    failing.iter().for_each(|up| up.set_behavior(Behavior::Fail(500)));
-    crashing.iter().for_each(|up| up.set_behavior(Behavior::RunAndClose));
+    let mut crashed = std::collections::BTreeSet::new();
     for n in 0..40 {
+        let fails = n % 3 == 2;
+        let behavior = if fails { Behavior::Fail(500) } else { Behavior::RunAndClose };
+        ups.iter().for_each(|up| up.set_behavior(behavior.clone()));
+        let runs_before: Vec<usize> = ups.iter().map(|up| up.runs()).collect();
         let (id, timeout) = (format!("r{n}"), Duration::from_millis(1_500));
         let (method, path, object) = ("POST", "/write/bad", n);
         let text =
             Request { method, host: "svc.example", path, id: &id, object, timeout, body: "" };
         exchange(host.settings().caller, &text.encode()).await;
+        let ran = (0..ups.len()).filter(|up| ups[*up].runs() > runs_before[*up]);
+        crashed.extend(ran.filter(|_| !fails));
     }
-    let crashes: usize = crashing.iter().map(|up| up.runs()).sum();
-    assert_eq!(crashes, 3, "upstreams that the request crashed");
+    assert_eq!(crashed.len(), 3, "upstreams that the request crashed: {crashed:?}");
     host.stop().await;
 }
--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -3,8 +3,9 @@
 //! A caller that retries one faulty request at any host takes down one upstream each time,
 //! including upstreams that serve everybody else. A connection that breaks before the answer counts
 //! as a strike against the request. After three strikes by different upstreams without an answer in
-//! between, no host sends the request any more. One answer clears the request: connections that
-//! break under a healthy request are faults of upstreams and links.
+//! between, no host sends the request any more. One answer other than a failure of the upstream
+//! clears the request: connections that break under a healthy request are faults of upstreams and
+//! links.
 //!
 //! Hosts share strikes in their digests, those against barred requests for as long as they count:
 //! hosts that start later have to learn of them. A host that receives no digests still stops after
@@ -117,7 +118,8 @@
         self.requests.values().map(Vec::len).sum()
     }
 
-    /// Clears the strikes against `request` after an upstream answered it.
+    /// Clears the strikes against `request` after an upstream answered it without a failure of its
+    /// own.
     pub fn clear(&mut self, request: Fingerprint) {
         self.requests.remove(&request);
     }
