test(entry): hosts that are cut off from all upstreams

Five of seven fail: callers get 503 and 504, and look-ups name the host. The other two, refusals while all hosts are cut off and requests that crash upstreams, hold now and have to hold with a remedy.

--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -168,6 +168,128 @@
     }
 }
 
+/// How a host is cut off from upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cut {
+    /// New connections are never accepted, and open ones deliver nothing until they time out.
+    Hang,
+    /// New connections are refused, and open ones are reset.
+    Reset,
+    /// New connections are refused, and open ones work.
+    RefuseNew,
+}
+
+/// Connects over TCP. While it is cut, connections to the given addresses fail.
+#[derive(Clone)]
+pub(crate) struct CutDial {
+    addrs: Arc<[SocketAddr]>,
+    cut: Arc<Mutex<Option<Cut>>>,
+    resets: Arc<AtomicUsize>,
+}
+
+impl CutDial {
+    pub(crate) fn new(addrs: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let addrs = addrs.into_iter().collect();
+        Self { addrs, cut: Arc::default(), resets: Arc::default() }
+    }
+
+    pub(crate) fn arc(&self) -> Arc<dyn Dial> {
+        Arc::new(self.clone())
+    }
+
+    pub(crate) fn set(&self, cut: Option<Cut>) {
+        *self.cut.lock().unwrap() = cut;
+        if cut == Some(Cut::Reset) {
+            self.resets.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn cut(&self) -> Option<Cut> {
+        *self.cut.lock().unwrap()
+    }
+}
+
+#[async_trait]
+impl Dial for CutDial {
+    async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        if !self.addrs.contains(&to) {
+            return DIAL.dial(to).await;
+        }
+        match self.cut() {
+            None => {
+                let inner = DIAL.dial(to).await?;
+                let resets = self.resets.load(Ordering::Relaxed);
+                Ok(Box::new(CutStream { inner, dial: self.clone(), resets, stalled: None }))
+            }
+            Some(Cut::Hang) => {
+                tokio::time::sleep(DIAL.connect_timeout.duration()).await;
+                Err(io::ErrorKind::TimedOut.into())
+            }
+            Some(Cut::Reset | Cut::RefuseNew) => Err(io::ErrorKind::ConnectionRefused.into()),
+        }
+    }
+}
+
+/// A connection to an upstream that fails while its dial is cut.
+struct CutStream {
+    inner: Box<dyn Stream>,
+    dial: CutDial,
+    /// The number of resets before the connection was made.
+    resets: usize,
+    /// Ends the connection if it makes no progress.
+    stalled: Option<Pin<Box<tokio::time::Sleep>>>,
+}
+
+impl CutStream {
+    /// Returns whether the connection works now; a stalled one fails after a while.
+    fn poll_works(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.dial.resets.load(Ordering::Relaxed) > self.resets {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        if self.dial.cut() != Some(Cut::Hang) && self.stalled.is_none() {
+            return Poll::Ready(Ok(()));
+        }
+        let stalled = self.stalled.get_or_insert_with(|| {
+            Box::pin(tokio::time::sleep(DIAL.unacknowledged_timeout.duration()))
+        });
+        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for CutStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        std::task::ready!(self.poll_works(cx))?;
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CutStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.poll_works(cx) {
+            Poll::Ready(Ok(())) => Pin::new(&mut self.inner).poll_write(cx, buf),
+            Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
+            // The operating system takes the bytes and sends them in vain.
+            Poll::Pending => Poll::Ready(Ok(buf.len())),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
 struct SilentStream {
     inner: Option<Box<dyn Stream>>,
     kept: Arc<Mutex<Vec<Box<dyn Stream>>>>,
--- /dev/null
+++ b/foxtail-entry/tests/cut_off.rs
@@ -0,0 +1,250 @@
+//! Hosts that are cut off from all upstreams, while callers, the store and other hosts reach them.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Cut, CutDial, TestSite, exchange, lookup_body, request, until};
+use foxtail_entry::Host;
+use foxtail_standin::caller::Answer;
+use foxtail_standin::store::StoreEndpoint;
+use foxtail_standin::upstream::{Behavior, UpstreamServer};
+use tokio::time::Instant;
+
+const CUTS: [Cut; 3] = [Cut::Hang, Cut::Reset, Cut::RefuseNew];
+
+/// By when a host that is cut off serves its callers again.
+const SERVED_AGAIN_AFTER: Duration = Duration::from_secs(4);
+
+/// A site with upstreams in three zones and hosts, of which some can be cut off from the upstreams.
+struct CutSite {
+    site: TestSite,
+    ups: Vec<UpstreamServer>,
+    dials: Vec<CutDial>,
+    hosts: Vec<Host>,
+    _endpoint: StoreEndpoint,
+}
+
+impl CutSite {
+    async fn start(host_zones: &[&str]) -> Self {
+        let site = TestSite::new();
+        site.configure(7);
+        let mut ups = Vec::new();
+        for (n, zone) in ["a1", "a1", "a2", "a2", "b1", "b1"].into_iter().enumerate() {
+            ups.push(site.upstream(&format!("up-{n}"), zone).await);
+        }
+        let endpoint = site.store_endpoint().await;
+        let (mut hosts, mut dials) = (Vec::new(), Vec::new());
+        for (n, zone) in host_zones.iter().enumerate() {
+            let dial = CutDial::new(ups.iter().map(UpstreamServer::addr));
+            let name = format!("h-{n}");
+            let host = site.host_with_dial(&name, zone, &endpoint, dial.arc()).await;
+            until("the host is ready", async || common::ready(&host).await).await;
+            hosts.push(host);
+            dials.push(dial);
+        }
+        let count = hosts.len() as f64;
+        for host in &hosts {
+            until("the hosts know each other", async || {
+                common::metric(host, "hosts_alive").await == Some(count)
+            })
+            .await;
+        }
+        let this = Self { site, ups, dials, hosts, _endpoint: endpoint };
+        // Leaves open connections to upstreams behind.
+        for host in 0..this.hosts.len() {
+            for n in 0..8 {
+                assert_eq!(this.send(host, "GET", &format!("warm-{host}-{n}")).await.status, 200);
+            }
+        }
+        this
+    }
+
+    async fn send(&self, host: usize, method: &str, id: &str) -> Answer {
+        let path = if method == "GET" { "/read/1" } else { "/write/1" };
+        exchange(self.hosts[host].settings().caller, &request(method, path, id, 1_500, "")).await
+    }
+
+    /// Cuts off `host`, and sends requests until it should serve its callers again.
+    async fn cut_off(&self, host: usize, cut: Cut) {
+        self.dials[host].set(Some(cut));
+        let since = Instant::now();
+        let mut n = 0;
+        while since.elapsed() < SERVED_AGAIN_AFTER {
+            n += 1;
+            // Several at a time, as callers have them.
+            let (a, b, c) = (
+                format!("cut-{host}-{n}a"),
+                format!("cut-{host}-{n}b"),
+                format!("cut-{host}-{n}c"),
+            );
+            tokio::join!(
+                self.send(host, "GET", &a),
+                self.send(host, "POST", &b),
+                self.send(host, "GET", &c)
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Returns how often upstreams ran the request `id`.
+    fn runs(&self, id: &str) -> usize {
+        let received = self.ups.iter().flat_map(UpstreamServer::received_requests);
+        received
+            .filter(|seen| seen.has_run && seen.headers["foxtailrouter-request-id"] == id)
+            .count()
+    }
+
+    async fn stop(self) {
+        for host in self.hosts {
+            host.stop().await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn host_that_is_cut_off_from_all_upstreams_serves_its_callers() {
+    for cut in CUTS {
+        let site = CutSite::start(&["a1", "a2"]).await;
+        site.cut_off(0, cut).await;
+        for n in 0..20 {
+            let method = if n % 2 == 0 { "GET" } else { "POST" };
+            let id = format!("r{n}");
+            let got = site.send(0, method, &id).await;
+            assert_eq!(got.status, 200, "{cut:?}: {method} {}", got.body);
+            assert_eq!(site.runs(&id), 1, "{cut:?}: {method}");
+        }
+        site.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn look_ups_do_not_name_a_host_that_is_cut_off_from_all_upstreams() {
+    for cut in CUTS {
+        let site = CutSite::start(&["a1", "a2", "a1"]).await;
+        let addrs: Vec<String> =
+            site.hosts.iter().map(|host| host.settings().caller.to_string()).collect();
+        let before = lookup_body(&site.hosts[1]).await;
+        let host = (0..3).find(|n| before.contains(&addrs[*n])).expect("a host is named");
+        site.cut_off(host, cut).await;
+        for other in &site.hosts {
+            let body = lookup_body(other).await;
+            assert!(!body.contains(&addrs[host]), "{cut:?}: {body} names {}", addrs[host]);
+        }
+        site.dials[host].set(None);
+        until("look-ups name the host again", async || {
+            lookup_body(&site.hosts[1]).await.contains(&addrs[host])
+        })
+        .await;
+        site.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn requests_are_refused_at_once_if_all_hosts_are_cut_off_from_all_upstreams() {
+    let site = CutSite::start(&["a1", "a2", "b1"]).await;
+    site.dials.iter().for_each(|dial| dial.set(Some(Cut::Reset)));
+    for host in 0..3 {
+        site.cut_off(host, Cut::Reset).await;
+    }
+    for n in 0..6 {
+        let sent_at = Instant::now();
+        let got = site.send(n % 3, "POST", &format!("r{n}")).await;
+        assert_eq!(got.status, 503, "{}", got.body);
+        assert!(got.headers.contains_key("retry-after"));
+        assert!(sent_at.elapsed() < Duration::from_millis(500), "{:?}", sent_at.elapsed());
+        assert_eq!(site.runs(&format!("r{n}")), 0);
+    }
+    site.stop().await;
+}
+
+#[tokio::test]
+async fn a_request_that_crashes_upstreams_is_barred_for_the_callers_of_a_host_that_is_cut_off() {
+    let site = CutSite::start(&["a1", "a2"]).await;
+    site.cut_off(0, Cut::Reset).await;
+    site.ups.iter().for_each(|up| up.set_behavior(Behavior::RunAndClose));
+    let runs_before: usize = site.ups.iter().map(UpstreamServer::runs).sum();
+    let send = async |host: usize, n: usize| {
+        let text = request("GET", "/read/bad", &format!("p{n}"), 1_500, "");
+        exchange(site.hosts[host].settings().caller, &text).await
+    };
+    for n in 0..10 {
+        send(n % 2, n).await;
+    }
+    let crashes = site.ups.iter().map(UpstreamServer::runs).sum::<usize>() - runs_before;
+    assert!(crashes <= 4, "{crashes} runs, the last two at upstreams that count once");
+    assert_eq!(send(0, 20).await.status, 503);
+    site.stop().await;
+}
+
+#[tokio::test]
+async fn requests_of_a_cut_off_host_reach_no_upstream_that_left() {
+    let site = CutSite::start(&["a1", "a2"]).await;
+    site.cut_off(0, Cut::RefuseNew).await;
+    let (left, stays) = site.ups.split_at(4);
+    for (n, up) in left.iter().enumerate() {
+        let zone = ["a1", "a1", "a2", "a2"][n];
+        let row = up.registration("books", zone, "draining", 0.0);
+        site.site.store.put("servers", up.id(), &row);
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let runs_before: Vec<usize> = left.iter().map(UpstreamServer::runs).collect();
+    for n in 0..20 {
+        assert_eq!(site.send(0, "GET", &format!("r{n}")).await.status, 200);
+    }
+    let runs: Vec<usize> = left.iter().map(UpstreamServer::runs).collect();
+    assert_eq!(runs, runs_before);
+    assert!(stays.iter().all(|up| up.runs() > 0));
+    site.stop().await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_a_cut_off_host_cancels_its_request_at_the_upstream() {
+    let site = CutSite::start(&["a1", "a2"]).await;
+    site.cut_off(0, Cut::Reset).await;
+    site.ups.iter().for_each(|up| up.set_behavior(Behavior::Silent));
+    let mut stream = tokio::net::TcpStream::connect(site.hosts[0].settings().caller).await.unwrap();
+    let text = request("GET", "/read/1", "gone", 5_000, "");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, text.as_bytes()).await.unwrap();
+    until("an upstream has the request", async || site.runs("gone") == 1).await;
+    let cancelled_before: u32 = site.ups.iter().map(|up| up.cancelled()).sum();
+    drop(stream);
+    let left_at = Instant::now();
+    until("the upstream cancels the request", async || {
+        site.ups.iter().map(|up| up.cancelled()).sum::<u32>() > cancelled_before
+    })
+    .await;
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+    site.stop().await;
+}
+
+#[tokio::test]
+async fn deadlines_and_attempts_hold_over_both_hosts_that_a_request_passes() {
+    let site = CutSite::start(&["a1", "a2"]).await;
+    site.cut_off(0, Cut::Hang).await;
+    site.ups.iter().for_each(|up| up.set_behavior(Behavior::Shed));
+    let got = site.send(0, "POST", "shed").await;
+    assert_eq!(got.status, 503, "{}", got.body);
+    let received = || site.ups.iter().flat_map(UpstreamServer::received_requests);
+    let attempts =
+        |id: &str| received().filter(|seen| seen.headers["foxtailrouter-request-id"] == id).count();
+    assert!((1..=2).contains(&attempts("shed")), "{} attempts", attempts("shed"));
+    site.ups.iter().for_each(|up| up.set_behavior(Behavior::Silent));
+    let sent_at = Instant::now();
+    let got = site.send(0, "GET", "late").await;
+    let took = sent_at.elapsed();
+    assert_eq!(got.status, 504, "{}", got.body);
+    assert!(
+        took >= Duration::from_millis(1_490) && took < Duration::from_millis(1_750),
+        "{took:?}"
+    );
+    let deadlines: Vec<u64> = received()
+        .filter(|seen| seen.headers["foxtailrouter-request-id"] == "late")
+        .map(|seen| seen.headers["foxtailrouter-deadline-ms"].parse().unwrap())
+        .collect();
+    assert!(!deadlines.is_empty() && deadlines.iter().all(|left| *left <= 1_500), "{deadlines:?}");
+    let relay_headers =
+        received().filter(|seen| seen.headers.keys().any(|name| name.contains("relay"))).count();
+    assert_eq!(relay_headers, 0, "requests with headers between hosts");
+    site.stop().await;
+}
