fix(entry): a request that no connection took has not run

Callers of hosts whose links to upstreams hang got 504 answer-lost for requests that must not be repeated, although nothing was sent: the deadline passed while a connection was being made, and the attempt counted as one that may have run. They could not try again. The test failed before with 504.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -58,6 +58,8 @@
     fwd: &'a ForwardedRequest<'a>,
     started: Millis,
     wait_ms: f64,
+    /// Whether a part of the request may have been written to a connection.
+    sent: bool,
     reported: bool,
 }
 
@@ -131,10 +133,14 @@
     if limited {
         cx.metrics.count_limited_attempt(fwd.service);
     }
-    let mut guard = AttemptGuard { cx, up, fwd, started, wait_ms, reported: false };
+    let mut guard = AttemptGuard { cx, up, fwd, started, wait_ms, sent: false, reported: false };
     let left = fwd.deadline.since(started).duration();
     match tokio::time::timeout(left, send(cx, up, fwd, &mut guard)).await {
         Ok(outcome) => outcome,
+        Err(_) if !guard.sent => {
+            guard.report(Outcome::Unreachable, None);
+            AttemptOutcome::NotRun(Outcome::Unreachable)
+        }
         Err(_) => {
             guard.report(Outcome::TimedOut, None);
             AttemptOutcome::MayHaveRun(Outcome::TimedOut)
@@ -187,6 +193,7 @@
     fwd: &ForwardedRequest<'_>,
     guard: &mut AttemptGuard<'_>,
 ) -> AttemptOutcome {
+    guard.sent = true;
     let response = match conn.sender.try_send_request(build_request(cx, up, fwd)).await {
         Ok(response) => response,
         Err(mut e) => {
--- a/foxtail-entry/tests/cut_off.rs
+++ b/foxtail-entry/tests/cut_off.rs
@@ -250,3 +250,18 @@
     assert_eq!(relay_headers, 0, "requests with headers between hosts");
     site.stop().await;
 }
+
+#[tokio::test]
+async fn request_whose_deadline_passes_while_a_connection_is_made_is_told_that_it_did_not_run() {
+    let site = CutSite::start(&["a1"]).await;
+    site.dials[0].set(Some(Cut::Hang));
+    // Open connections are used up first.
+    for n in 0..12 {
+        let text = request("GET", "/read/1", &format!("first-{n}"), 1_500, "");
+        exchange(site.hosts[0].settings().caller, &text).await;
+    }
+    let text = request("POST", "/write/1", "late", 300, "");
+    let got = exchange(site.hosts[0].settings().caller, &text).await;
+    assert_eq!((got.status, got.body.as_str()), (503, "deadline-passed"));
+    site.stop().await;
+}
