feat(steer): decide whether a host lost its upstreams, and who serves its callers

- Reachability: failed connections to several upstreams, or silence while requests wait, raise a suspicion; probes of upstreams in all regions confirm it.
- Fleet: hosts tell each other whether they reach upstreams, behind the digest, so that hosts of earlier versions ignore it.

Limits of upstreams hold meanwhile.

--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -5,7 +5,7 @@
 //! the digests take. A host whose counter has not risen for a timeout is considered dead.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use foxtail_macro::{id, value};
 use foxtail_types::prelude::*;
@@ -25,6 +25,11 @@
 /// since those hosts serve only callers whose own region has none left.
 pub const CROSS_REGION_LIVENESS_TIMEOUT: Millis = Millis(6_000);
 
+/// Time since its last heartbeat up to which a host of another region is asked to serve a request if
+/// no host is alive that could. Heartbeats of large regions take some seconds to reach all hosts of
+/// others, so that such a host often is alive.
+const REMOTE_MEMORY: Millis = Millis::secs(30);
+
 /// Number of hosts in each region that read the store for the others. A host that learns of a newer
 /// version fetches it from the host that announced it. Hosts with access to the store miss a change
 /// only if all readers of all regions fail.
@@ -103,6 +108,19 @@
     pub store_lost: bool,
 }
 
+/// Whether a host reaches upstreams.
+#[id]
+#[derive(Default)]
+pub enum UpstreamAccess {
+    /// The host does not say, as hosts of earlier versions.
+    #[default]
+    Unknown,
+    /// The host reaches upstreams, as far as it knows.
+    Available,
+    /// The host reaches no upstream.
+    Lost,
+}
+
 /// The newest versions of the store's areas that a host knows.
 #[id]
 #[derive(Default)]
@@ -122,6 +140,10 @@
     pub versions: Versions,
     /// Heartbeats of the hosts that the sender knows, its own first.
     pub beats: Vec<Heartbeat>,
+    /// Whether these hosts reach upstreams, in the order of `beats`. It is encoded behind the digest,
+    /// since hosts of earlier versions do not expect it in here.
+    #[serde(skip)]
+    pub access: Vec<UpstreamAccess>,
     /// Recent strikes against requests that broke connections to upstreams.
     pub strikes: Vec<Strike>,
     /// Whether the receiver should send its own digest at once.
@@ -140,6 +162,7 @@
     phase: Phase,
     rate: u16,
     store_lost: bool,
+    access: UpstreamAccess,
 }
 
 /// The hosts of the fleet as this host knows them.
@@ -188,6 +211,7 @@
             phase: Phase::Starting,
             rate: 0,
             store_lost: false,
+            access: UpstreamAccess::Available,
         };
         Self {
             own_id: id.clone(),
@@ -243,6 +267,7 @@
                     phase: Phase::Starting,
                     rate: 0,
                     store_lost: false,
+                    access: UpstreamAccess::Unknown,
                 };
                 self.peers.insert(key, peer);
             }
@@ -283,7 +308,7 @@
         let mut changed = Vec::new();
         let region = self.own_record().region.clone();
         self.add_host(digest.from.clone(), now);
-        for heartbeat in &digest.beats {
+        for (index, heartbeat) in digest.beats.iter().enumerate() {
             let Some(peer) = self.peers.get_mut(&heartbeat.host) else { continue };
             if peer.record.id == self.own_id {
                 self.echoed_beat = self.echoed_beat.max(heartbeat.beat);
@@ -301,6 +326,7 @@
             peer.phase = heartbeat.phase;
             peer.rate = heartbeat.rate;
             peer.store_lost = heartbeat.store_lost;
+            peer.access = digest.access.get(index).copied().unwrap_or_default();
         }
         changed
     }
@@ -320,6 +346,56 @@
         self.peers[&host_key(&self.own_id)].store_lost
     }
 
+    /// Sets whether this host has lost its links to all upstreams.
+    pub fn set_upstreams_lost(&mut self, lost: bool) {
+        self.own_peer().access =
+            if lost { UpstreamAccess::Lost } else { UpstreamAccess::Available };
+    }
+
+    /// Records that another host has said that it reaches no upstream. Its next heartbeat tells whether
+    /// that still holds.
+    pub fn record_upstreams_lost(&mut self, host: &HostId) {
+        if let Some(peer) = self.peers.get_mut(&host_key(host)) {
+            peer.access = UpstreamAccess::Lost;
+        }
+    }
+
+    /// Returns whether other hosts of this region are known to have lost their upstreams.
+    pub fn others_lost_upstreams(&self, now: Millis) -> bool {
+        let region = &self.own_record().region;
+        let mut lost = self.serving_hosts(UpstreamAccess::Lost, now);
+        lost.any(|record| record.region == *region && record.id != self.own_id)
+    }
+
+    /// Returns the hosts that serve callers and say `access` of themselves.
+    pub(crate) fn serving_hosts(
+        &self,
+        access: UpstreamAccess,
+        now: Millis,
+    ) -> impl Iterator<Item = &HostRecord> {
+        let own_region = &self.own_record().region;
+        let serving = move |peer: &&Peer| {
+            peer.access == access && peer.phase == Phase::Serving && is_alive(peer, own_region, now)
+        };
+        self.peers.values().filter(serving).map(|peer| &peer.record)
+    }
+
+    /// Returns the hosts of other regions that served callers and reached their upstreams when they
+    /// were last heard, within [`REMOTE_MEMORY`].
+    pub(crate) fn remote_hosts_heard_earlier(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = &HostRecord> {
+        let own_region = &self.own_record().region;
+        let is_candidate = move |peer: &&Peer| {
+            peer.record.region != *own_region
+                && peer.access == UpstreamAccess::Available
+                && peer.phase == Phase::Serving
+                && peer.heartbeat_at.is_some_and(|at| now.since(at) <= REMOTE_MEMORY)
+        };
+        self.peers.values().filter(is_candidate).map(|peer| &peer.record)
+    }
+
     /// Returns whether this host reads the store for its region.
     pub fn is_reader(&self, now: Millis) -> bool {
         let region = &self.own_record().region;
@@ -353,6 +429,7 @@
     pub fn own_digest(&mut self, now: Millis) -> Digest {
         let mut digest = self.build_digest(now, false, false);
         digest.beats.truncate(1);
+        digest.access.truncate(1);
         digest
     }
 
@@ -373,15 +450,15 @@
             **key != own_key && included && is_alive(peer, &from.region, now)
         });
         let own = self.peers.get_key_value(&own_key);
-        let beats = own
+        let (beats, access) = own
             .into_iter()
             .chain(others)
             .map(|(key, peer)| {
-                let Peer { beat, phase, rate, store_lost, .. } = *peer;
-                Heartbeat { host: *key, beat, phase, rate, store_lost }
+                let Peer { beat, phase, rate, store_lost, access, .. } = *peer;
+                (Heartbeat { host: *key, beat, phase, rate, store_lost }, access)
             })
-            .collect();
-        Digest { from, versions: self.versions, beats, strikes: Vec::new(), reply }
+            .unzip();
+        Digest { from, versions: self.versions, beats, access, strikes: Vec::new(), reply }
     }
 
     /// Returns the addresses of all other hosts: those of this region, and those of other regions.
@@ -403,6 +480,14 @@
         !self.peers.values().any(is_local)
     }
 
+    /// Returns whether a known host has the address `ip`.
+    pub fn is_host_address(&self, ip: IpAddr) -> bool {
+        self.peers.values().any(|peer| {
+            let record = &peer.record;
+            record.id != self.own_id && (record.caller.ip() == ip || record.peer.ip() == ip)
+        })
+    }
+
     /// Returns the number of known hosts, dead or alive.
     pub fn host_count(&self) -> usize {
         self.peers.len()
@@ -480,7 +565,8 @@
         Senders { fleet: self, now, in_contact: None, by_region: BTreeMap::new() }
     }
 
-    /// Returns the entry hosts in `region`: the hosts of the region that callers are directed to.
+    /// Returns the entry hosts in `region`: the hosts of the region that callers are directed to. Hosts
+    /// that lost their upstreams are among them only if all of the region did.
     fn entry_hosts_in(&self, region: &RegionId, now: Millis) -> Vec<&HostRecord> {
         let own_region = &self.own_record().region;
         let serving =
@@ -488,6 +574,9 @@
         let keys = self.keys_by_region.get(region).into_iter().flatten();
         let mut hosts: Vec<&Peer> = keys.map(|key| &self.peers[key]).filter(serving).collect();
         let rate: f64 = hosts.iter().map(|peer| f64::from(peer.rate)).sum();
+        if hosts.iter().any(|peer| peer.access != UpstreamAccess::Lost) {
+            hosts.retain(|peer| peer.access != UpstreamAccess::Lost);
+        }
         let count = ((rate / HOST_REQUESTS_PER_S).ceil() as usize).max(MIN_ENTRY_HOSTS);
         let key = rendezvous::hash(region.as_str());
         hosts.sort_by_key(|peer| {
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of an entry host, without I/O: which upstream a request is sent to, which requests
 //! are refused or retried, how fast a cold upstream warms up, which hosts are alive, which of them
-//! callers are directed to, and from which of them changes of the store are fetched.
+//! callers are directed to, from which of them changes of the store are fetched, and through which of
+//! them a host without upstreams serves its callers.
 //!
 //! All functions take the current time as an argument and return what to do. [`Steering`] holds the
 //! state of the upstreams, [`Fleet`] that of the other hosts.
@@ -12,6 +13,8 @@
 pub mod named_limit;
 mod placement;
 pub mod pull_queue;
+pub mod reachability;
+pub mod relay;
 pub mod rendezvous;
 pub mod retry;
 mod shift;
@@ -27,6 +30,7 @@
 pub use fleet::Fleet;
 pub use named_limit::RateLimit;
 pub use pull_queue::PullQueue;
+pub use reachability::Reachability;
 pub use retry::RetryBudget;
 pub use split::Split;
 pub use steering::Steering;
--- /dev/null
+++ b/foxtail-steer/src/reachability.rs
@@ -0,0 +1,205 @@
+//! Notices that this host has lost its links to all upstreams.
+//!
+//! The load that this answers: a host whose links to upstreams are cut still gets the requests of
+//! its callers. Connections to upstreams hang, are refused or are reset, or those that are open work
+//! while new ones fail. To each upstream's state that looks like a fault of this upstream, and to
+//! requests like overload. Only all upstreams together show the fault.
+//!
+//! Failures raise a suspicion: new connections to several upstreams fail, or many requests wait and
+//! no upstream answers anything. Since upstreams may fail by themselves, probes of upstreams in all
+//! regions confirm it. A host that lost its upstreams relays its callers' requests through other
+//! hosts (see [`relay`](crate::relay)) and goes on probing until an upstream answers.
+
+use std::collections::BTreeMap;
+
+use foxtail_types::prelude::*;
+
+use crate::{Steering, Upstream, rendezvous};
+
+/// Number of upstreams that are probed at once. With one in each region, no fault of a zone or
+/// region looks like a loss of all.
+pub const PROBES_PER_ROUND: usize = 3;
+
+/// Time between two rounds of probes.
+pub const PROBE_INTERVAL: Millis = Millis(500);
+
+/// Time since an upstream's last answer after which a host probes because others of its region lost
+/// their upstreams. Without requests of its own it would not notice that it lost them too.
+const UNCONFIRMED_AFTER: Millis = Millis(2_000);
+
+/// How long a probe waits for the upstream's answer.
+pub const PROBE_TIMEOUT: Millis = Millis(500);
+
+/// Number of upstreams with failed connections from which the host suspects its own links.
+const MIN_FAILED_UPSTREAMS: usize = 2;
+
+/// How long a failed connection counts.
+const FAILURE_LIFETIME: Millis = Millis(1_500);
+
+/// Number of waiting requests from which silence of all upstreams is suspicious. A single request
+/// may just be slow.
+const MIN_WAITING_REQUESTS: u32 = 3;
+
+/// Time without any answer after which waiting requests are suspicious.
+const SILENCE: Millis = Millis(1_200);
+
+/// Whether this host reaches its upstreams.
+#[derive(Debug, Default)]
+pub struct Reachability {
+    /// The latest failed connection to each upstream since the last new connection that worked.
+    failures: BTreeMap<UpstreamId, Millis>,
+    waiting_requests: u32,
+    /// Since when requests have waited without an answer from any upstream.
+    silent_since: Option<Millis>,
+    answered_at: Option<Millis>,
+    probed_at: Option<Millis>,
+    probe_rounds: u64,
+    lost_since: Option<Millis>,
+}
+
+/// The outcome of one probe of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The upstream answered, with any status.
+    Answered,
+    /// The connection was accepted, and no answer came in time; the upstream may be busy.
+    Unanswered,
+    /// No connection was made, or it ended before an answer.
+    Failed,
+}
+
+/// The host lost its upstreams or reaches them again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// No upstream can be reached.
+    Lost,
+    /// An upstream answered again.
+    Regained {
+        /// How long they were lost.
+        after: Millis,
+    },
+}
+
+impl Reachability {
+    /// Returns whether the host has lost its links to all upstreams.
+    pub fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
+    }
+
+    /// Returns whether the links to all upstreams may be lost.
+    pub fn is_suspected(&self, now: Millis) -> bool {
+        self.is_lost() || self.failed_upstreams(now) >= MIN_FAILED_UPSTREAMS || self.is_silent(now)
+    }
+
+    /// Returns the number of upstreams with recently failed connections.
+    pub fn failed_upstreams(&self, now: Millis) -> usize {
+        let is_recent = |at: &&Millis| now.since(**at) <= FAILURE_LIFETIME;
+        self.failures.values().filter(is_recent).count()
+    }
+
+    fn is_silent(&self, now: Millis) -> bool {
+        self.waiting_requests >= MIN_WAITING_REQUESTS && self.has_been_silent(now)
+    }
+
+    fn has_been_silent(&self, now: Millis) -> bool {
+        self.silent_since.is_some_and(|since| now.since(since) >= SILENCE)
+    }
+
+    /// Records that a request is being sent to an upstream.
+    pub fn record_sent(&mut self, now: Millis) {
+        self.waiting_requests += 1;
+        self.silent_since.get_or_insert(now);
+    }
+
+    /// Records that a request to an upstream has ended, with an answer if `answered`.
+    pub fn record_ended(&mut self, answered: bool, now: Millis) {
+        if answered {
+            self.answered_at = Some(now);
+        }
+        self.waiting_requests = self.waiting_requests.saturating_sub(1);
+        if self.waiting_requests == 0 {
+            self.silent_since = None;
+        } else if answered {
+            self.silent_since = Some(now);
+        }
+    }
+
+    /// Records that a new connection to an upstream delivered an answer.
+    pub fn record_new_connection(&mut self) {
+        self.failures.clear();
+    }
+
+    /// Records that no connection to `upstream` could be made, or that one broke.
+    pub fn record_failure(&mut self, upstream: &UpstreamId, now: Millis) {
+        self.failures.retain(|_, at| now.since(*at) <= FAILURE_LIFETIME);
+        self.failures.insert(upstream.clone(), now);
+    }
+
+    /// Returns whether upstreams should be probed. `others_lost` says whether other hosts of the
+    /// region lost their upstreams.
+    pub fn needs_probes(&self, others_lost: bool, now: Millis) -> bool {
+        let is_unconfirmed = self.answered_at.is_none_or(|at| now.since(at) >= UNCONFIRMED_AFTER);
+        self.is_suspected(now) || (others_lost && is_unconfirmed)
+    }
+
+    /// Begins a round of probes if one is due, and returns its number.
+    pub fn begin_probes(&mut self, others_lost: bool, now: Millis) -> Option<u64> {
+        let is_due = self.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
+        if !is_due || !self.needs_probes(others_lost, now) {
+            return None;
+        }
+        self.probed_at = Some(now);
+        self.probe_rounds += 1;
+        Some(self.probe_rounds)
+    }
+
+    /// Records the outcomes of a round of probes.
+    pub fn record_probes(&mut self, outcomes: &[ProbeOutcome], now: Millis) -> Option<Change> {
+        if outcomes.contains(&ProbeOutcome::Answered) {
+            self.failures.clear();
+            self.answered_at = Some(now);
+            let lost_since = self.lost_since.take()?;
+            return Some(Change::Regained { after: now.since(lost_since) });
+        }
+        let all_failed = outcomes.iter().all(|outcome| *outcome == ProbeOutcome::Failed);
+        let is_lost = !outcomes.is_empty() && (all_failed || self.has_been_silent(now));
+        if !is_lost || self.is_lost() {
+            return None;
+        }
+        self.lost_since = Some(now);
+        Some(Change::Lost)
+    }
+}
+
+impl Steering {
+    /// Returns the upstreams to probe in round `round`: one in each region before a second one in
+    /// any, and others in the next round. Leaves out those that are cold or name limits, which take
+    /// few requests.
+    pub fn upstreams_to_probe(&self, round: u64, now: Millis) -> Vec<Upstream> {
+        let can_probe = |state: &&crate::upstream_state::UpstreamState| {
+            self.is_available(state)
+                && state.cold_until <= now
+                && state.named_limit.limit().is_none()
+        };
+        let mut ranked: Vec<(u64, &RegionId, &Upstream)> = self
+            .upstreams
+            .iter()
+            .filter(can_probe)
+            .map(|state| {
+                (rendezvous::weight(round, state.up.id.as_str()), &state.region, &state.up)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, ..)| std::cmp::Reverse(*weight));
+        let mut per_region: BTreeMap<&RegionId, usize> = BTreeMap::new();
+        let mut spread: Vec<(usize, &Upstream)> = Vec::new();
+        for (_, region, up) in ranked {
+            let rank = per_region.entry(region).or_default();
+            if *rank < PROBES_PER_ROUND {
+                spread.push((*rank, up));
+            }
+            *rank += 1;
+        }
+        spread.sort_by_key(|(rank, _)| *rank);
+        spread.into_iter().take(PROBES_PER_ROUND).map(|(_, up)| up.clone()).collect()
+    }
+}
--- /dev/null
+++ b/foxtail-steer/tests/cut_off/main.rs
@@ -0,0 +1,147 @@
+//! Hosts that are cut off from all upstreams serve their callers through other hosts, in fleets of 18
+//! and 142 hosts.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod simulation;
+
+use foxtail_steer::reachability::{Change, ProbeOutcome, Reachability};
+use foxtail_types::prelude::*;
+use simulation::{Cut, Manner, Scenario, Simulation, zone_of};
+
+const FLEET_SIZES: [usize; 2] = [18, 142];
+const MANNERS: [Manner; 3] = [Manner::Hang, Manner::Reset, Manner::RefuseNew];
+
+/// Plays cuts of each manner in fleets of each size, and returns the simulations.
+fn play(affects: fn(usize) -> bool, change: impl Fn(&mut Scenario)) -> Vec<(String, Simulation)> {
+    let mut played = Vec::new();
+    for hosts in FLEET_SIZES {
+        for manner in MANNERS {
+            let from = Millis(3_000);
+            let cuts = vec![Cut { from, to: Millis(12_000), manner, affects }];
+            let mut scenario = Scenario {
+                hosts,
+                requests_per_s: (6.0 * hosts as f64).min(250.0),
+                length: Millis(15_000),
+                cuts,
+                restarts: Vec::new(),
+                homes: Vec::new(),
+                seed: 7,
+            };
+            change(&mut scenario);
+            let name = format!("{hosts} hosts, {manner:?}");
+            played.push((name, Simulation::new(scenario).play()));
+        }
+    }
+    played
+}
+
+fn assert_served(played: &[(String, Simulation)]) {
+    for (name, simulation) in played {
+        let counts = simulation.counts;
+        assert!(counts.cut_off > 20 && counts.others > 0, "{name}: {counts:?}");
+        let failed = counts.cut_off - counts.cut_off_served;
+        assert!(failed * 50 <= counts.cut_off, "{name}: {counts:?}");
+        let failed = counts.others - counts.others_served;
+        assert!(failed * 50 <= counts.others, "{name}: {counts:?}");
+        assert!(simulation.most_passed <= 2, "{name}: a request passed {}", simulation.most_passed);
+        assert_eq!(simulation.left_homes, 0, "{name}");
+        assert!(simulation.longest <= Millis(1_000), "{name}: {:?}", simulation.longest);
+    }
+}
+
+#[test]
+fn a_third_of_the_hosts_is_cut_off() {
+    assert_served(&play(|host| host % 3 == (host / 6) % 3, |_| {}));
+}
+
+#[test]
+fn a_zone_is_cut_off() {
+    assert_served(&play(|host| zone_of(host) == "a1", |_| {}));
+}
+
+#[test]
+fn a_region_is_cut_off() {
+    assert_served(&play(|host| zone_of(host).starts_with('a'), |_| {}));
+}
+
+#[test]
+fn all_hosts_but_one_are_cut_off() {
+    for (name, simulation) in play(|host| host != 4, |_| {}) {
+        let counts = simulation.counts;
+        let failed = counts.cut_off - counts.cut_off_served;
+        // The upstreams' slots suffice for one host's cap on shifts between regions only in part.
+        assert!(failed * 3 <= counts.cut_off, "{name}: {counts:?}");
+        assert!(simulation.most_passed <= 2, "{name}: a request passed {}", simulation.most_passed);
+    }
+}
+
+#[test]
+fn all_hosts_are_cut_off() {
+    for (name, simulation) in play(|_| true, |_| {}) {
+        assert!(simulation.most_passed <= 2, "{name}: a request passed {}", simulation.most_passed);
+        let longest = simulation.longest;
+        assert!(longest <= Millis(500), "{name}: a request waited for {longest:?} in vain");
+    }
+}
+
+#[test]
+fn requests_with_homes_stay_in_them_while_hosts_are_cut_off() {
+    let played = play(|host| host % 3 == (host / 6) % 3, |scenario| scenario.homes = vec!["b"]);
+    assert_served(&played);
+}
+
+#[test]
+fn hosts_are_cut_off_again_and_again_while_others_restart() {
+    let change = |scenario: &mut Scenario| {
+        let first = scenario.cuts[0];
+        let second = Cut { affects: |host| zone_of(host) == "b2", from: Millis(8_000), ..first };
+        scenario.cuts.push(second);
+        let hosts = scenario.hosts;
+        let restarts = (0..8).map(|n| (Millis(4_000 + 1_000 * n as u64), 5 * n % hosts));
+        scenario.restarts = restarts.collect();
+    };
+    for (name, simulation) in play(|host| zone_of(host) == "a1", change) {
+        let counts = simulation.counts;
+        let failed = counts.cut_off - counts.cut_off_served;
+        assert!(failed * 20 <= counts.cut_off, "{name}: {counts:?}");
+        assert!(simulation.most_passed <= 2, "{name}: a request passed {}", simulation.most_passed);
+    }
+}
+
+#[test]
+fn nothing_is_relayed_or_probed_while_no_host_is_cut_off() {
+    for (name, simulation) in play(|_| false, |scenario| scenario.cuts.clear()) {
+        assert_eq!((simulation.relayed, simulation.needless_probes), (0, 0), "{name}");
+    }
+}
+
+#[test]
+fn failures_of_some_upstreams_are_no_loss_of_all() {
+    let mut reachability = Reachability::default();
+    for n in 0..3 {
+        reachability.record_failure(&format!("u{n}").parse().unwrap(), Millis(100));
+    }
+    assert!(reachability.is_suspected(Millis(100)));
+    assert!(reachability.begin_probes(false, Millis(100)).is_some());
+    let outcomes = [ProbeOutcome::Failed, ProbeOutcome::Answered, ProbeOutcome::Failed];
+    assert_eq!(reachability.record_probes(&outcomes, Millis(200)), None);
+    assert!(!reachability.is_suspected(Millis(200)));
+}
+
+#[test]
+fn busy_upstreams_that_do_not_answer_probes_in_time_are_not_lost_while_others_answer() {
+    let mut reachability = Reachability::default();
+    (0..8).for_each(|_| reachability.record_sent(Millis(0)));
+    reachability.record_ended(true, Millis(900));
+    assert!(!reachability.is_suspected(Millis(1_500)));
+    let unanswered = [ProbeOutcome::Unanswered; 3];
+    assert_eq!(reachability.record_probes(&unanswered, Millis(1_500)), None);
+    // No answer to any request for longer: connections may be accepted by something in between.
+    assert!(reachability.is_suspected(Millis(2_200)));
+    assert_eq!(reachability.record_probes(&unanswered, Millis(2_200)), Some(Change::Lost));
+    let answered = [ProbeOutcome::Failed, ProbeOutcome::Answered];
+    let after = Millis(800);
+    let change = reachability.record_probes(&answered, Millis(3_000));
+    assert_eq!(change, Some(Change::Regained { after }));
+}
--- a/foxtail-steer/tests/limits/main.rs
+++ b/foxtail-steer/tests/limits/main.rs
@@ -110,6 +110,26 @@
     }
 }
 
+#[test]
+fn limit_of_an_upstream_holds_while_hosts_relay_requests_to_each_other() {
+    for hosts in [18, 142] {
+        let cut_off: [fn(usize) -> bool; 3] =
+            [|n| n % 6 == 0, |n| n % 3 == n / 6 % 3, |n| n % 6 < 2];
+        for (seed, is_cut_off) in cut_off.into_iter().enumerate() {
+            let mut scenario = scenario(hosts, 50 + seed as u64);
+            for n in (0..hosts).filter(|n| is_cut_off(*n)) {
+                for from in [7, 14, 22] {
+                    scenario.faults.push(fault(from, from + 5, FaultKind::LoseUpstreams(n)));
+                }
+                if n % 4 == 0 {
+                    scenario.faults.push(fault(16, 19, FaultKind::Restart(n)));
+                }
+            }
+            play_within_limits(scenario);
+        }
+    }
+}
+
 /// Returns a scenario with random faults, also several at the same time.
 fn random_scenario(hosts: usize, seed: u64) -> Scenario {
     let mut scenario = scenario(hosts, seed);
--- a/foxtail-steer/tests/limits/simulation.rs
+++ b/foxtail-steer/tests/limits/simulation.rs
@@ -40,6 +40,9 @@
     Freeze(usize),
     /// The host is down, and starts again with nothing but the registrations of hosts.
     Restart(usize),
+    /// The host reaches no upstream by new connections, notices it with its next digest, and relays
+    /// requests from then on. Before, it sends on open connections.
+    LoseUpstreams(usize),
     /// Digests are lost with this probability in percent.
     Loss(u64),
 }
@@ -82,6 +85,7 @@
     steering: Steering,
     next_tick: Millis,
     is_down: bool,
+    has_lost_upstreams: bool,
     inbox: Vec<(Millis, Message)>,
 }
 
@@ -216,7 +220,13 @@
 
     fn tick(&mut self, n: usize) {
         let now = self.now;
+        let lost = self
+            .active_faults()
+            .iter()
+            .any(|kind| matches!(kind, FaultKind::LoseUpstreams(host) if *host == n));
         let host = &mut self.hosts[n];
+        host.fleet.set_upstreams_lost(lost);
+        host.has_lost_upstreams = lost;
         let digest = host.fleet.digest(now, false);
         let limits = host.steering.limits_to_share(now);
         host.steering.update_limit_senders(&host.fleet, now);
@@ -303,7 +313,7 @@
             FaultKind::Partition(group_of) => group_of(from) == group_of(to),
             FaultKind::Mute(host) => *host != from,
             FaultKind::Loss(percent) => lost >= *percent,
-            FaultKind::Freeze(_) => true,
+            FaultKind::Freeze(_) | FaultKind::LoseUpstreams(_) => true,
             FaultKind::Restart(host) => *host != to,
         })
     }
@@ -329,6 +339,19 @@
             return;
         }
         let object = self.below(24 * self.scenario.upstreams as u64 / 12);
+        let n = match self.hosts[n].has_lost_upstreams {
+            false => n,
+            true => {
+                let fleet = &self.hosts[n].fleet;
+                let target = fleet.relay_target(&route("r"), object, &[], self.now);
+                let Some(target) = target.map(|target| host_index(&target.id)) else { return };
+                let refuses = self.hosts[target].has_lost_upstreams || self.hosts[target].is_down;
+                if refuses || !self.is_connected(n, target) {
+                    return;
+                }
+                target
+            }
+        };
         let host = &mut self.hosts[n];
         let route = route("r");
         let Some(up) = send(&mut host.steering, &host.fleet, &route, object, self.now) else {
@@ -385,7 +408,14 @@
     for u in 0..scenario.upstreams {
         steering.set_upstream(upstream(upstream_id(u).as_str(), zone_of(u)), now);
     }
-    Host { fleet, steering, next_tick: now, is_down: false, inbox: Vec::new() }
+    Host {
+        fleet,
+        steering,
+        next_tick: now,
+        is_down: false,
+        has_lost_upstreams: false,
+        inbox: Vec::new(),
+    }
 }
 
 fn record_of(n: usize) -> foxtail_steer::fleet::HostRecord {
