fix(steer): an answer clears a request of strikes on all hosts

An answer cleared the strikes of the host that got it. Hosts without callers heard of the strikes and of no answer, and came to bar the request; since bars are shared for as long as they count, they passed the bar on to all others.

Hosts now share the answers that cleared strikes, and a strike from before the last known answer does not count. A request that crashes upstreams gets no such answer, so that its bar holds as before.

--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -10,7 +10,7 @@
 use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Phase, UpstreamAccess};
 use foxtail_steer::named_limit::LimitReport;
 use foxtail_steer::pull_queue::{SOURCE_NOTICE_HOSTS, Step};
-use foxtail_steer::suspects::MAX_STRIKES;
+use foxtail_steer::suspects::{ClearingAnswer, MAX_STRIKES};
 use foxtail_types::prelude::*;
 use rand::seq::{IndexedRandom, SliceRandom};
 use serde::de::DeserializeOwned;
@@ -62,19 +62,21 @@
     }
 }
 
-/// Encodes a digest and, behind it, reports on limits and the hosts' access to upstreams. Hosts of
-/// versions without these parts ignore what follows the ones that they know.
+/// Encodes a digest and, behind it, reports on limits, the hosts' access to upstreams and answers that
+/// cleared requests. Hosts of versions without these parts ignore what follows the ones that they know.
 fn encode_message(digest: &Digest, limits: &[LimitReport]) -> postcard::Result<Vec<u8>> {
     let buf = postcard::to_stdvec(digest)?;
     let buf = postcard::to_extend(limits, buf)?;
-    postcard::to_extend(&digest.access, buf)
+    let buf = postcard::to_extend(&digest.access, buf)?;
+    postcard::to_extend(&digest.answers, buf)
 }
 
 fn decode_message(bytes: &[u8]) -> postcard::Result<(Digest, Vec<LimitReport>)> {
     let (mut digest, rest): (Digest, _) = postcard::take_from_bytes(bytes)?;
     let (limits, rest) = take_part::<Vec<LimitReport>>(rest)?;
-    let (access, _) = take_part::<Vec<UpstreamAccess>>(rest)?;
-    digest.access = access;
+    let (access, rest) = take_part::<Vec<UpstreamAccess>>(rest)?;
+    let (answers, _) = take_part::<Vec<ClearingAnswer>>(rest)?;
+    (digest.access, digest.answers) = (access, answers);
     Ok((digest, limits))
 }
 
@@ -113,10 +115,13 @@
     }
 }
 
-/// Merges the strikes of `digest`, and informs other hosts of new ones that reach
+/// Merges the strikes of `digest` and the answers that cleared some, and informs other hosts of new ones that reach
 /// [`IMMEDIATE_SHARE_STRIKES`].
 fn merge_strikes(cx: &HostContext, digest: &Digest, now: Millis) {
     let mut suspects = cx.suspects.lock();
+    for answer in &digest.answers {
+        suspects.add_shared_answer(answer, now);
+    }
     for strike in &digest.strikes {
         let Some(strikes) = suspects.add_shared_strike(strike, now) else { continue };
         // A first strike has no effect on this host, and the host that recorded it has logged it.
@@ -323,7 +328,7 @@
     send_message(cx, socket, digest, &limits, targets).await;
 }
 
-/// Adds strikes to `digest` and sends it with `limits` to each of `targets`.
+/// Adds strikes and the answers that cleared some to `digest`, and sends it with `limits` to each of `targets`.
 async fn send_message(
     cx: &HostContext,
     socket: &UdpSocket,
@@ -331,7 +336,11 @@
     limits: &[LimitReport],
     targets: impl IntoIterator<Item = SocketAddr>,
 ) {
-    digest.strikes = cx.suspects.lock().strikes_to_share(cx.now());
+    {
+        let (mut suspects, now) = (cx.suspects.lock(), cx.now());
+        digest.strikes = suspects.strikes_to_share(now);
+        digest.answers = suspects.answers_to_share(now);
+    }
     let bytes = match encode_message(&digest, limits) {
         Ok(bytes) => bytes,
         Err(e) => {
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -308,7 +308,7 @@
             AttemptOutcome::Answered(response) => {
                 // An upstream that fails may do so before it runs what crashes others.
                 if !response.status().is_server_error() {
-                    cx.suspects.lock().clear(fingerprint);
+                    cx.suspects.lock().clear(fingerprint, cx.now());
                 }
                 request_log.record_response(cx, &service, response.status());
                 return Ok(strip_response(response));
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -11,7 +11,7 @@
 use foxtail_types::prelude::*;
 
 use crate::rendezvous;
-use crate::suspects::Strike;
+use crate::suspects::{ClearingAnswer, Strike};
 
 /// Interval at which a host sends digests.
 pub const DIGEST_INTERVAL: Millis = Millis(400);
@@ -146,6 +146,9 @@
     pub access: Vec<UpstreamAccess>,
     /// Recent strikes against requests that broke connections to upstreams.
     pub strikes: Vec<Strike>,
+    /// Answers that cleared such requests, encoded as `access` is.
+    #[serde(skip)]
+    pub answers: Vec<ClearingAnswer>,
     /// Whether the receiver should send its own digest at once.
     pub reply: bool,
 }
@@ -458,7 +461,15 @@
                 (Heartbeat { host: *key, beat, phase, rate, store_lost }, access)
             })
             .unzip();
-        Digest { from, versions: self.versions, beats, access, strikes: Vec::new(), reply }
+        Digest {
+            from,
+            versions: self.versions,
+            beats,
+            access,
+            strikes: Vec::new(),
+            answers: Vec::new(),
+            reply,
+        }
     }
 
     /// Returns the addresses of all other hosts: those of this region, and those of other regions.
--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -4,8 +4,8 @@
 //! including upstreams that serve everybody else. A connection that breaks before the answer counts
 //! as a strike against the request. After three strikes by different upstreams without an answer in
 //! between, no host sends the request any more. One answer other than a failure of the upstream
-//! clears the request: connections that break under a healthy request are faults of upstreams and
-//! links.
+//! clears the request on all hosts: connections that break under a healthy request are faults of
+//! upstreams and links.
 //!
 //! Hosts share strikes in their digests, those against barred requests for as long as they count:
 //! hosts that start later have to learn of them. A host that receives no digests still stops after
@@ -36,6 +36,12 @@
 /// all of them.
 const MAX_SHARED_BARS: usize = 2;
 
+/// Most answers in one digest, so that the digest fits into one datagram.
+const MAX_SHARED_ANSWERS: usize = 16;
+
+/// Most requests whose last answer is kept.
+const MAX_ANSWERED_REQUESTS: usize = 2_048;
+
 /// Most requests that are tracked; a request with few strikes is evicted first.
 const MAX_SUSPECT_REQUESTS: usize = 1_024;
 
@@ -54,6 +60,15 @@
     pub age: Millis,
 }
 
+/// An answer that cleared a request, as hosts share it.
+#[value]
+pub struct ClearingAnswer {
+    /// The request.
+    pub request: Fingerprint,
+    /// Time since the answer.
+    pub age: Millis,
+}
+
 /// The requests that broke connections, with their strikes.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -61,6 +76,16 @@
     requests: HashMap<Fingerprint, Vec<StoredStrike>>,
     /// The last barred request in the previous digest.
     last_shared_bar: Option<Fingerprint>,
+    /// The last answers to requests. Strikes before them do not count.
+    answers: HashMap<Fingerprint, Answer>,
+}
+
+/// The last answer to a request.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    at: Millis,
+    /// Until when the answer is shared with other hosts, since it cleared strikes.
+    share_until: Millis,
 }
 
 /// A strike as this host stores it.
@@ -105,9 +130,22 @@
     /// `None` if the strike is known or has expired.
     pub fn add_shared_strike(&mut self, strike: &Strike, now: Millis) -> Option<usize> {
         let at = Millis(now.0.saturating_sub(strike.age.0));
+        if let Some(answer) = self.answers.get_mut(&strike.request)
+            && at <= answer.at
+        {
+            // The other host does not know of the answer.
+            answer.share_until = now + STRIKE_SHARE_PERIOD;
+            return None;
+        }
         self.insert(strike.request, StoredStrike { upstream: strike.upstream, at }, now)
     }
 
+    /// Returns the number of current strikes against `request`.
+    pub fn strikes_against(&self, request: Fingerprint, now: Millis) -> usize {
+        let strikes = self.requests.get(&request).into_iter().flatten();
+        strikes.filter(|strike| is_current(strike, now)).count()
+    }
+
     /// Returns whether this host stores no strikes against `request`.
     pub fn has_no_strikes(&self, request: Fingerprint) -> bool {
         !self.requests.contains_key(&request)
@@ -120,8 +158,51 @@
 
     /// Clears the strikes against `request` after an upstream answered it without a failure of its
     /// own.
-    pub fn clear(&mut self, request: Fingerprint) {
-        self.requests.remove(&request);
+    pub fn clear(&mut self, request: Fingerprint, now: Millis) {
+        let had_strikes = self.requests.remove(&request).is_some();
+        let share_until = if had_strikes { now + STRIKE_SHARE_PERIOD } else { Millis::ZERO };
+        self.record_answer(request, Answer { at: now, share_until });
+    }
+
+    /// Clears the strikes that came before an answer at another host.
+    pub fn add_shared_answer(&mut self, answer: &ClearingAnswer, now: Millis) {
+        let at = Millis(now.0.saturating_sub(answer.age.0));
+        if self.answers.get(&answer.request).is_some_and(|known| known.at >= at) {
+            return;
+        }
+        if let Some(strikes) = self.requests.get_mut(&answer.request) {
+            strikes.retain(|strike| strike.at > at);
+            if strikes.is_empty() {
+                self.requests.remove(&answer.request);
+            }
+        }
+        let share_until = now + STRIKE_SHARE_PERIOD;
+        self.record_answer(answer.request, Answer { at, share_until });
+    }
+
+    fn record_answer(&mut self, request: Fingerprint, answer: Answer) {
+        if self.answers.len() >= MAX_ANSWERED_REQUESTS && !self.answers.contains_key(&request) {
+            // Dropping the older half at once costs little for each answer.
+            let mut times: Vec<Millis> = self.answers.values().map(|answer| answer.at).collect();
+            let (_, median, _) = times.select_nth_unstable(MAX_ANSWERED_REQUESTS / 2);
+            let median = *median;
+            self.answers.retain(|_, answer| answer.at > median);
+        }
+        self.answers.insert(request, answer);
+    }
+
+    /// Returns the answers that cleared requests to share with other hosts, the newest first.
+    pub fn answers_to_share(&self, now: Millis) -> Vec<ClearingAnswer> {
+        let shared = self.answers.iter().filter(|(_, answer)| now <= answer.share_until);
+        let mut answers: Vec<ClearingAnswer> = shared
+            .map(|(request, answer)| ClearingAnswer {
+                request: *request,
+                age: now.since(answer.at),
+            })
+            .collect();
+        answers.sort_by_key(|answer| answer.age);
+        answers.truncate(MAX_SHARED_ANSWERS);
+        answers
     }
 
     /// Returns how long `request` must not be sent, or `None` if it may be sent.
--- a/foxtail-steer/tests/crashes.rs
+++ b/foxtail-steer/tests/crashes.rs
@@ -105,6 +105,9 @@
     }
 
     fn send_digest(&mut self, from: usize, to: usize, now: Millis) {
+        for answer in self.hosts[from].answers_to_share(now) {
+            self.hosts[to].add_shared_answer(&answer, now);
+        }
         let mut reached_notice = false;
         for strike in self.hosts[from].strikes_to_share(now) {
             let strikes = self.hosts[to].add_shared_strike(&strike, now);
@@ -117,7 +120,11 @@
 
     fn notify_region(&mut self, from: usize, now: Millis) {
         let strikes = self.hosts[from].strikes_to_share(now);
+        let answers = self.hosts[from].answers_to_share(now);
         for to in (0..self.hosts.len()).filter(|to| *to != from && region(*to) == region(from)) {
+            for answer in &answers {
+                self.hosts[to].add_shared_answer(answer, now);
+            }
             for strike in &strikes {
                 self.hosts[to].add_shared_strike(strike, now);
             }
@@ -201,3 +208,38 @@
         assert!(late <= ALLOWED_LATE_RETRIES, "{late} late retries, {hosts} hosts");
     }
 }
+
+#[test]
+fn request_that_is_answered_in_between_is_not_barred_by_hosts_that_hear_of_its_strikes_only() {
+    for hosts in FLEET_SIZES {
+        for seed in 0..10 {
+            let mut fleet = Fleet::new(hosts, Vec::new(), seed);
+            let request = fingerprint("/healthy");
+            let (mut sent, mut refused) = (0, 0);
+            for step in 0..400 {
+                let now = Millis(step * STEP.0);
+                if now.0.is_multiple_of(DIGEST_INTERVAL.0) {
+                    (0..hosts).for_each(|host| fleet.send_digests(host, now));
+                }
+                if step == 200 {
+                    fleet.apply(0, Event::Restart, now);
+                }
+                // Callers use four hosts, on which one in eight connections breaks.
+                let host = fleet.below(4);
+                sent += 1;
+                if fleet.hosts[host].barred_for(request, now).is_some() {
+                    refused += 1;
+                } else if step % 8 == 0 {
+                    let upstream = upstream_id(step);
+                    let strikes = fleet.hosts[host].record_strike(request, &upstream, None, now);
+                    if strikes >= Some(MAX_STRIKES - 1) {
+                        fleet.notify_region(host, now);
+                    }
+                } else {
+                    fleet.hosts[host].clear(request, now);
+                }
+            }
+            assert!(refused * 50 <= sent, "{refused} of {sent}, {hosts} hosts, seed {seed}");
+        }
+    }
+}
--- a/foxtail-steer/tests/suspects.rs
+++ b/foxtail-steer/tests/suspects.rs
@@ -44,7 +44,7 @@
         let now = Millis(n * 100);
         host.record_strike(request, &upstream_id(&format!("u{n}")), None, now);
         if n % 2 == 1 {
-            host.clear(request);
+            host.clear(request, now);
         }
         assert!(host.barred_for(request, now).is_none());
     }
