fix(entry): connections that break with a host's links bar no healthy request

When a host loses its links, connections break under several requests at once, under popular ones at three upstreams, which barred these on all hosts for ten minutes.

A broken connection counts as a strike only once an answer to a later request, or a probe, has shown that the host's links work; a host that finds them lost drops what is left. Until then the request is refused for half a second if it would be barred. Attempts at one request that were under way together count as one. A request that crashes upstreams is barred as before, by the same tests.

The stand-in for the users' newer trouble: proxies that tell hosts apart and cut some off, with connections that hang, end, or end only if they are new.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -80,7 +80,8 @@
             load: info.and_then(|info| info.load),
         };
         self.cx.steering.lock().record_outcome(&report, now);
-        self.cx.record_reachability(&self.up.id, outcome, self.new_connection, now);
+        let attempt = (self.started, self.new_connection);
+        self.cx.record_reachability(&self.up.id, outcome, attempt, now);
         self.cx.metrics.record_attempt(&self.up.service, outcome_name(outcome), took);
         let load = info.and_then(|info| info.load);
         tracing::info!(
--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -5,7 +5,7 @@
 
 use foxtail_net::Dial;
 use foxtail_place::BlockMap;
-use foxtail_steer::{Fleet, Reachability, Steering, Suspects, TransferLimit};
+use foxtail_steer::{Fleet, Reachability, Steering, Suspects, TransferLimit, UnconfirmedStrikes};
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -32,6 +32,7 @@
     pub(crate) store_replica: Mutex<StoreReplica>,
     pub(crate) directory: Directory,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) unconfirmed_strikes: Mutex<UnconfirmedStrikes>,
     pub(crate) reachability: Mutex<Reachability>,
     /// Wakes the task that probes upstreams.
     pub(crate) probe_upstreams: Notify,
@@ -85,6 +86,7 @@
             store,
             directory: Directory::new(blocks),
             suspects: Mutex::default(),
+            unconfirmed_strikes: Mutex::default(),
             reachability: Mutex::default(),
             probe_upstreams: Notify::new(),
             notify_peers: Notify::new(),
--- a/foxtail-entry/src/probe.rs
+++ b/foxtail-entry/src/probe.rs
@@ -4,8 +4,11 @@
 
 use bytes::Bytes;
 use foxtail_steer::Upstream;
-use foxtail_steer::reachability::{Change, PROBE_INTERVAL, PROBE_TIMEOUT, ProbeOutcome};
+use foxtail_steer::reachability::{
+    Change, PROBE_INTERVAL, PROBE_TIMEOUT, ProbeOutcome, ProbeReasons,
+};
 use foxtail_steer::steering::Outcome;
+use foxtail_steer::unconfirmed::UnconfirmedStrike;
 use foxtail_types::prelude::*;
 use futures::future::join_all;
 use http_body_util::Full;
@@ -14,6 +17,7 @@
 
 use crate::attempt::{ResponseBody, connect, read_body};
 use crate::context::HostContext;
+use crate::gossip::IMMEDIATE_SHARE_STRIKES;
 
 /// Probes upstreams while the host may have lost them, until the host ends.
 pub(crate) async fn watch_upstreams(cx: Arc<HostContext>) {
@@ -32,11 +36,14 @@
 
 /// Probes some upstreams if a round of probes is due, and records whether any is reached.
 async fn probe_upstreams(cx: &HostContext) {
-    let now = cx.now();
-    let others_lost = cx.fleet.lock().others_lost_upstreams(now);
-    let Some(round) = cx.reachability.lock().begin_probes(others_lost, now) else { return };
-    let ups = cx.steering.lock().upstreams_to_probe(round, now);
+    let began = cx.now();
+    let reasons = cx.probe_reasons(began);
+    let Some(round) = cx.reachability.lock().begin_probes(reasons, began) else { return };
+    let ups = cx.steering.lock().upstreams_to_probe(round, began);
     let outcomes = join_all(ups.iter().map(|up| probe(cx, up))).await;
+    if outcomes.contains(&ProbeOutcome::Answered) {
+        cx.confirm_strikes(began);
+    }
     let (change, failed) = {
         let mut reachability = cx.reachability.lock();
         let now = cx.now();
@@ -45,7 +52,9 @@
     };
     match change {
         Some(Change::Lost) => {
-            tracing::warn!(event = "upstreams_lost", failed, probes = ?outcomes);
+            let discarded_strikes = cx.unconfirmed_strikes.lock().discard();
+            tracing::warn!(event = "upstreams_lost", failed, discarded_strikes,
+                probes = ?outcomes);
             cx.set_upstreams_lost(true);
         }
         Some(Change::Regained { after }) => {
@@ -100,12 +109,13 @@
 }
 
 impl HostContext {
-    /// Records what the outcome of an attempt at `up` says of this host's links to upstreams.
+    /// Records what the outcome of an attempt at `up` that began at `started` says of this host's
+    /// links to upstreams.
     pub(crate) fn record_reachability(
         &self,
         up: &UpstreamId,
         outcome: Outcome,
-        new_connection: bool,
+        (started, new_connection): (Millis, bool),
         now: Millis,
     ) {
         let answered =
@@ -121,15 +131,41 @@
             }
             reachability.is_suspected(now)
         };
+        if answered {
+            self.confirm_strikes(started);
+        }
         if suspected {
             self.probe_upstreams.notify_one();
         }
     }
 
+    /// Counts the strikes of this host that an answer to a request sent at `sent_at` confirms, and
+    /// informs other hosts of requests that reach [`IMMEDIATE_SHARE_STRIKES`].
+    fn confirm_strikes(&self, sent_at: Millis) {
+        let confirmed = self.unconfirmed_strikes.lock().confirm(sent_at);
+        for strike in confirmed {
+            let UnconfirmedStrike { request, upstream, started, at, .. } = &strike;
+            let counted = self.suspects.lock().record_strike(*request, upstream, *started, *at);
+            let Some(strikes) = counted else { continue };
+            tracing::info!(event = "suspect", request = strike.request_id,
+                fingerprint = %request, strikes, %upstream, age_ms = self.now().since(*at).0);
+            if strikes >= IMMEDIATE_SHARE_STRIKES {
+                self.notify_peers.notify_one();
+            }
+        }
+    }
+
+    fn probe_reasons(&self, now: Millis) -> ProbeReasons {
+        ProbeReasons {
+            others_lost: self.fleet.lock().others_lost_upstreams(now),
+            unconfirmed_strikes: !self.unconfirmed_strikes.lock().is_empty(),
+        }
+    }
+
     /// Wakes the task that probes upstreams if it has a reason to.
     pub(crate) fn check_reachability(&self, now: Millis) {
-        let others_lost = self.fleet.lock().others_lost_upstreams(now);
-        if self.reachability.lock().needs_probes(others_lost, now) {
+        let reasons = self.probe_reasons(now);
+        if self.reachability.lock().needs_probes(reasons, now) {
             self.probe_upstreams.notify_one();
         }
     }
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -9,7 +9,8 @@
 use foxtail_net::http::Body;
 use foxtail_steer::relay::RelayedRequest;
 use foxtail_steer::steering::{Estimate, Outcome, Placement, Request as PlacementRequest};
-use foxtail_steer::suspects::Fingerprint;
+use foxtail_steer::suspects::{Fingerprint, MAX_STRIKES};
+use foxtail_steer::unconfirmed::{UNCONFIRMED_BAR, UnconfirmedStrike};
 use foxtail_steer::{Config, Route, Upstream};
 use foxtail_types::prelude::*;
 use foxtail_types::reason::Reason;
@@ -24,7 +25,6 @@
 
 use crate::attempt::{AttemptOutcome, ForwardedRequest, attempt, outcome_name};
 use crate::context::HostContext;
-use crate::gossip::IMMEDIATE_SHARE_STRIKES;
 use crate::ports::RequestInfo;
 use crate::refusal::Refusal;
 use crate::relay::{self, RelayOutcome};
@@ -150,7 +150,7 @@
     strip_connection_headers(&mut head.headers);
     let buffered = BufferedBody::new(cx, body.len() as u64);
     let fingerprint = fingerprint_of(caller, &head, &body);
-    if let Some(retry_after) = cx.suspects.lock().barred_for(fingerprint, arrived) {
+    if let Some(retry_after) = barred_for(cx, fingerprint, arrived) {
         let refusal = Refusal::not_run(Reason::CrashedUpstreams, retry_after);
         tracing::info!(event = "barred", request = info.id, fingerprint = %fingerprint);
         request_log.record_refusal(cx, "-", &refusal, None);
@@ -180,6 +180,14 @@
     Fingerprint::new(&caller.to_string(), head.method.as_str(), host, path, body)
 }
 
+/// Returns for how long a request is refused because it crashed upstreams, if it is.
+fn barred_for(cx: &HostContext, request: Fingerprint, now: Millis) -> Option<Millis> {
+    let unconfirmed = cx.unconfirmed_strikes.lock().count(request);
+    let suspects = cx.suspects.lock();
+    let would_be_barred = suspects.strikes_against(request, now) + unconfirmed >= MAX_STRIKES;
+    suspects.barred_for(request, now).or(would_be_barred.then_some(UNCONFIRMED_BAR))
+}
+
 /// Reads the request body, up to `max_bytes` and until `deadline`.
 async fn read_body(
     cx: &HostContext,
@@ -304,10 +312,12 @@
         request_log.record_placement(&up.id, &service, &estimate);
         request_log.attempts += 1;
         attempts.upstreams.push(up.id.clone());
+        let sent_at = cx.now();
         match attempt(cx, &up, &fwd, estimate.wait_ms).await {
             AttemptOutcome::Answered(response) => {
                 // An upstream that fails may do so before it runs what crashes others.
                 if !response.status().is_server_error() {
+                    cx.unconfirmed_strikes.lock().clear(fingerprint);
                     cx.suspects.lock().clear(fingerprint, cx.now());
                 }
                 request_log.record_response(cx, &service, response.status());
@@ -316,7 +326,9 @@
             AttemptOutcome::NotRun(outcome) => attempts.record(outcome, false),
             AttemptOutcome::MayHaveRun(outcome) => {
                 attempts.record(outcome, true);
-                if outcome == Outcome::Broken && request_log.record_strike(cx, fingerprint, &up) {
+                if outcome == Outcome::Broken
+                    && request_log.record_strike(cx, fingerprint, &up, sent_at)
+                {
                     break attempts.final_refusal(Reason::CrashedUpstreams, SHED_RETRY_AFTER);
                 }
             }
@@ -479,19 +491,25 @@
         );
     }
 
-    /// Records that the connection to `up` broke during the request. Returns whether the request is
-    /// no longer sent to any upstream.
-    fn record_strike(&self, cx: &HostContext, fingerprint: Fingerprint, up: &Upstream) -> bool {
+    /// Records that the connection to `up` broke under the request, which was sent at `sent_at`.
+    /// Returns whether the request is no longer sent to any upstream.
+    fn record_strike(
+        &self,
+        cx: &HostContext,
+        fingerprint: Fingerprint,
+        up: &Upstream,
+        sent_at: Millis,
+    ) -> bool {
         let now = cx.now();
-        let mut suspects = cx.suspects.lock();
-        if let Some(strikes) = suspects.record_strike(fingerprint, &up.id, up.started, now) {
-            tracing::info!(event = "suspect", request = self.info.id, fingerprint = %fingerprint,
-                strikes, upstream = %up.id);
-            if strikes >= IMMEDIATE_SHARE_STRIKES {
-                cx.notify_peers.notify_one();
-            }
-        }
-        suspects.barred_for(fingerprint, now).is_some()
+        cx.unconfirmed_strikes.lock().add(UnconfirmedStrike {
+            request: fingerprint,
+            request_id: self.info.id.clone(),
+            upstream: up.id.clone(),
+            started: up.started,
+            sent_at,
+            at: now,
+        });
+        barred_for(cx, fingerprint, now).is_some()
     }
 
     fn record_response(&self, cx: &HostContext, service: &ServiceId, status: StatusCode) {
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod suspects;
 mod token_bucket;
 pub mod transfer_limit;
+pub mod unconfirmed;
 pub mod upstream;
 mod upstream_state;
 
@@ -37,4 +38,5 @@
 pub use suspects::Suspects;
 pub use token_bucket::TokenBucket;
 pub use transfer_limit::TransferLimit;
+pub use unconfirmed::UnconfirmedStrikes;
 pub use upstream::Upstream;
--- a/foxtail-steer/src/reachability.rs
+++ b/foxtail-steer/src/reachability.rs
@@ -36,20 +36,20 @@
 /// How long a failed connection counts.
 const FAILURE_LIFETIME: Millis = Millis(1_500);
 
-/// Number of waiting requests from which silence of all upstreams is suspicious. A single request
-/// may just be slow.
-const MIN_WAITING_REQUESTS: u32 = 3;
-
-/// Time without any answer after which waiting requests are suspicious.
+/// Time without any answer to requests after which upstreams may be lost.
 const SILENCE: Millis = Millis(1_200);
 
+/// Number of waiting requests from which [`SILENCE`] is suspicious. Fewer may just be slow, and are
+/// suspicious after twice the time.
+const MIN_WAITING_REQUESTS: u32 = 3;
+
 /// Whether this host reaches its upstreams.
 #[derive(Debug, Default)]
 pub struct Reachability {
     /// The latest failed connection to each upstream since the last new connection that worked.
     failures: BTreeMap<UpstreamId, Millis>,
     waiting_requests: u32,
-    /// Since when requests have waited without an answer from any upstream.
+    /// When the first request was sent that no answer has followed, from any upstream.
     silent_since: Option<Millis>,
     answered_at: Option<Millis>,
     probed_at: Option<Millis>,
@@ -57,6 +57,16 @@
     lost_since: Option<Millis>,
 }
 
+/// Reasons to probe upstreams besides a suspicion.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProbeReasons {
+    /// Other hosts of the region lost their upstreams.
+    pub others_lost: bool,
+    /// Connections broke under requests, and no answer has come since; see
+    /// [`unconfirmed`](crate::unconfirmed).
+    pub unconfirmed_strikes: bool,
+}
+
 /// The outcome of one probe of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
@@ -98,11 +108,14 @@
     }
 
     fn is_silent(&self, now: Millis) -> bool {
-        self.waiting_requests >= MIN_WAITING_REQUESTS && self.has_been_silent(now)
+        let silence =
+            if self.waiting_requests >= MIN_WAITING_REQUESTS { SILENCE } else { SILENCE * 2 };
+        self.waiting_requests > 0 && self.silent_for(now) >= silence
     }
 
-    fn has_been_silent(&self, now: Millis) -> bool {
-        self.silent_since.is_some_and(|since| now.since(since) >= SILENCE)
+    /// Returns the time since the first request that no answer has followed.
+    fn silent_for(&self, now: Millis) -> Millis {
+        self.silent_since.map_or(Millis::ZERO, |since| now.since(since))
     }
 
     /// Records that a request is being sent to an upstream.
@@ -113,17 +126,17 @@
 
     /// Records that a request to an upstream has ended, with an answer if `answered`.
     pub fn record_ended(&mut self, answered: bool, now: Millis) {
-        if answered {
-            self.answered_at = Some(now);
-        }
         self.waiting_requests = self.waiting_requests.saturating_sub(1);
-        if self.waiting_requests == 0 {
-            self.silent_since = None;
-        } else if answered {
-            self.silent_since = Some(now);
+        if answered {
+            self.record_answer(now);
         }
     }
 
+    fn record_answer(&mut self, now: Millis) {
+        self.answered_at = Some(now);
+        self.silent_since = (self.waiting_requests > 0).then_some(now);
+    }
+
     /// Records that a new connection to an upstream delivered an answer.
     pub fn record_new_connection(&mut self) {
         self.failures.clear();
@@ -135,17 +148,17 @@
         self.failures.insert(upstream.clone(), now);
     }
 
-    /// Returns whether upstreams should be probed. `others_lost` says whether other hosts of the
-    /// region lost their upstreams.
-    pub fn needs_probes(&self, others_lost: bool, now: Millis) -> bool {
+    /// Returns whether upstreams should be probed.
+    pub fn needs_probes(&self, reasons: ProbeReasons, now: Millis) -> bool {
+        let ProbeReasons { others_lost, unconfirmed_strikes } = reasons;
         let is_unconfirmed = self.answered_at.is_none_or(|at| now.since(at) >= UNCONFIRMED_AFTER);
-        self.is_suspected(now) || (others_lost && is_unconfirmed)
+        self.is_suspected(now) || unconfirmed_strikes || (others_lost && is_unconfirmed)
     }
 
     /// Begins a round of probes if one is due, and returns its number.
-    pub fn begin_probes(&mut self, others_lost: bool, now: Millis) -> Option<u64> {
+    pub fn begin_probes(&mut self, reasons: ProbeReasons, now: Millis) -> Option<u64> {
         let is_due = self.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
-        if !is_due || !self.needs_probes(others_lost, now) {
+        if !is_due || !self.needs_probes(reasons, now) {
             return None;
         }
         self.probed_at = Some(now);
@@ -157,12 +170,12 @@
     pub fn record_probes(&mut self, outcomes: &[ProbeOutcome], now: Millis) -> Option<Change> {
         if outcomes.contains(&ProbeOutcome::Answered) {
             self.failures.clear();
-            self.answered_at = Some(now);
+            self.record_answer(now);
             let lost_since = self.lost_since.take()?;
             return Some(Change::Regained { after: now.since(lost_since) });
         }
         let all_failed = outcomes.iter().all(|outcome| *outcome == ProbeOutcome::Failed);
-        let is_lost = !outcomes.is_empty() && (all_failed || self.has_been_silent(now));
+        let is_lost = !outcomes.is_empty() && (all_failed || self.silent_for(now) >= SILENCE);
         if !is_lost || self.is_lost() {
             return None;
         }
--- a/foxtail-steer/tests/cut_off/main.rs
+++ b/foxtail-steer/tests/cut_off/main.rs
@@ -5,7 +5,7 @@
 mod common;
 mod simulation;
 
-use foxtail_steer::reachability::{Change, ProbeOutcome, Reachability};
+use foxtail_steer::reachability::{Change, ProbeOutcome, ProbeReasons, Reachability};
 use foxtail_types::prelude::*;
 use simulation::{Cut, Manner, Scenario, Simulation, zone_of};
 
@@ -123,12 +123,27 @@
         reachability.record_failure(&format!("u{n}").parse().unwrap(), Millis(100));
     }
     assert!(reachability.is_suspected(Millis(100)));
-    assert!(reachability.begin_probes(false, Millis(100)).is_some());
+    assert!(reachability.begin_probes(ProbeReasons::default(), Millis(100)).is_some());
     let outcomes = [ProbeOutcome::Failed, ProbeOutcome::Answered, ProbeOutcome::Failed];
     assert_eq!(reachability.record_probes(&outcomes, Millis(200)), None);
     assert!(!reachability.is_suspected(Millis(200)));
 }
 
+#[test]
+fn a_single_slow_request_is_no_loss_of_all_upstreams() {
+    let mut reachability = Reachability::default();
+    reachability.record_sent(Millis(0));
+    assert!(!reachability.is_suspected(Millis(2_000)));
+    reachability.record_ended(false, Millis(2_000));
+    // Nothing waits any more, but no answer has come since either.
+    assert!(!reachability.is_suspected(Millis(3_000)));
+    reachability.record_sent(Millis(3_000));
+    assert!(reachability.is_suspected(Millis(3_000)));
+    let answered = [ProbeOutcome::Answered; 3];
+    assert_eq!(reachability.record_probes(&answered, Millis(3_100)), None);
+    assert!(!reachability.is_suspected(Millis(4_000)));
+}
+
 #[test]
 fn busy_upstreams_that_do_not_answer_probes_in_time_are_not_lost_while_others_answer() {
     let mut reachability = Reachability::default();
--- a/foxtail-steer/tests/cut_off/simulation.rs
+++ b/foxtail-steer/tests/cut_off/simulation.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Fleet, Phase};
-use foxtail_steer::reachability::{PROBE_TIMEOUT, ProbeOutcome, Reachability};
+use foxtail_steer::reachability::{PROBE_TIMEOUT, ProbeOutcome, ProbeReasons, Reachability};
 use foxtail_steer::relay::MAX_RELAY_OFFERS;
 use foxtail_steer::steering::{Outcome, Placement, Request as PlacementRequest};
 use foxtail_steer::{Route, Steering};
@@ -381,7 +381,8 @@
         let now = self.now;
         let host = &mut self.hosts[n];
         let others_lost = host.fleet.others_lost_upstreams(now);
-        let Some(round) = host.reachability.begin_probes(others_lost, now) else { return };
+        let reasons = ProbeReasons { others_lost, unconfirmed_strikes: false };
+        let Some(round) = host.reachability.begin_probes(reasons, now) else { return };
         let count = host.steering.upstreams_to_probe(round, now).len();
         let any_cut =
             self.scenario.cuts.iter().any(|cut| (cut.from..cut.to + SETTLING_TIME).contains(&now));
--- a/foxtail-steer/tests/suspects.rs
+++ b/foxtail-steer/tests/suspects.rs
@@ -1,6 +1,8 @@
 //! Requests that crash upstreams are barred, and other requests are not.
 
+use foxtail_steer::UnconfirmedStrikes;
 use foxtail_steer::suspects::{Fingerprint, Suspects};
+use foxtail_steer::unconfirmed::UnconfirmedStrike;
 use foxtail_types::prelude::*;
 use proptest::prelude::*;
 
@@ -62,6 +64,53 @@
     assert_eq!(record_strike(&mut host, 2), Some(2));
 }
 
+fn unconfirmed(upstream: &str, sent_at: u64, at: u64) -> UnconfirmedStrike {
+    UnconfirmedStrike {
+        request: fingerprint("/hot"),
+        request_id: "r".to_owned(),
+        upstream: upstream_id(upstream),
+        started: None,
+        sent_at: Millis(sent_at),
+        at: Millis(at),
+    }
+}
+
+#[test]
+fn connections_that_break_with_the_links_of_a_host_are_no_strikes() {
+    let mut strikes = UnconfirmedStrikes::default();
+    strikes.add(unconfirmed("u1", 0, 100));
+    strikes.add(unconfirmed("u2", 110, 120));
+    assert_eq!(strikes.count(fingerprint("/hot")), 2);
+    assert!(strikes.confirm(Millis(90)).is_empty(), "an answer to an earlier request");
+    assert_eq!(strikes.discard(), 2);
+    assert!(strikes.confirm(Millis(500)).is_empty());
+}
+
+#[test]
+fn an_answer_confirms_the_strikes_before_its_request() {
+    let mut strikes = UnconfirmedStrikes::default();
+    strikes.add(unconfirmed("u1", 0, 100));
+    strikes.add(unconfirmed("u2", 100, 200));
+    let confirmed = strikes.confirm(Millis(150));
+    assert_eq!(confirmed, [unconfirmed("u1", 0, 100)]);
+    assert_eq!(strikes.confirm(Millis(200)).len(), 1);
+    assert!(strikes.is_empty());
+}
+
+#[test]
+fn attempts_that_were_under_way_together_count_as_one_strike() {
+    let mut strikes = UnconfirmedStrikes::default();
+    for (n, upstream) in ["u1", "u2", "u3"].into_iter().enumerate() {
+        strikes.add(unconfirmed(upstream, 10 * n as u64, 100 + n as u64));
+    }
+    assert_eq!(strikes.confirm(Millis(300)).len(), 1);
+    // One that was already under way breaks later.
+    strikes.add(unconfirmed("u4", 90, 400));
+    assert!(strikes.is_empty());
+    strikes.add(unconfirmed("u5", 100, 400));
+    assert_eq!(strikes.count(fingerprint("/hot")), 1);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(16))]
     #[test]
--- a/foxtailrouter/tests/limits/main.rs
+++ b/foxtailrouter/tests/limits/main.rs
@@ -10,6 +10,9 @@
 #[path = "../soak/host.rs"]
 mod host;
 #[allow(dead_code, reason = "the soak test uses the rest")]
+#[path = "../soak/links.rs"]
+mod links;
+#[allow(dead_code, reason = "the soak test uses the rest")]
 #[path = "../soak/proxy.rs"]
 mod proxy;
 #[allow(dead_code, reason = "the soak test uses the rest")]
--- a/foxtailrouter/tests/soak/caller.rs
+++ b/foxtailrouter/tests/soak/caller.rs
@@ -16,6 +16,10 @@
 /// How long a caller waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The first seed of a caller that also uses hosts which no look-up named. Callers of earlier seeds
+/// do as before, so that seeds that failed once still lead to the same requests.
+const FIRST_SEED_THAT_KEEPS_HOSTS: u64 = 100_000;
+
 /// A request that a caller sent, with its outcome.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestRecord {
@@ -58,7 +62,11 @@
             let lookup_addr = hosts.choose(&mut rng).expect("at least one host").1;
             addresses = look_up(lookup_addr).await.unwrap_or(addresses);
         }
-        let Some(&host_addr) = addresses.choose(&mut rng) else { continue };
+        let Some(&named_addr) = addresses.choose(&mut rng) else { continue };
+        // Some callers keep to hosts that look-ups no longer name.
+        let keeps_host = seed >= FIRST_SEED_THAT_KEEPS_HOSTS && rng.random_bool(0.1);
+        let any_host = keeps_host.then(|| hosts.choose(&mut rng)).flatten();
+        let host_addr = any_host.map_or(named_addr, |host| host.0);
         // Most requests reuse the open connection, also while its host shuts down and closes it.
         let reused = open_connection.take().filter(|_| rng.random_bool(0.8));
         let (host_addr, stream) = match reused {
@@ -96,7 +104,7 @@
     }
 }
 
-fn request(id: &str, idempotent: bool, object: u64) -> String {
+pub(crate) fn request(id: &str, idempotent: bool, object: u64) -> String {
     let (method, path) = if idempotent { ("GET", "/read/1") } else { ("POST", "/write/1") };
     let (host, timeout) = ("svc.example", ANSWER_TIMEOUT);
     Request { method, host, path, id, object, timeout, body: "" }.encode()
@@ -108,7 +116,7 @@
     tokio::time::timeout(ANSWER_TIMEOUT, lookup).await.ok().flatten()
 }
 
-async fn exchange(stream: &mut TcpStream, text: &str) -> RequestOutcome {
+pub(crate) async fn exchange(stream: &mut TcpStream, text: &str) -> RequestOutcome {
     match tokio::time::timeout(ANSWER_TIMEOUT, caller::exchange(stream, text)).await {
         Err(_) => RequestOutcome::TimedOut,
         Ok(Ok(answer)) if answer.is_complete => RequestOutcome::Answer(answer.status, answer.body),
--- a/foxtailrouter/tests/soak/check.rs
+++ b/foxtailrouter/tests/soak/check.rs
@@ -7,7 +7,7 @@
 use foxtail_standin::upstream::ReceivedRequest;
 
 use crate::caller::{RequestOutcome, RequestRecord};
-use crate::site::TestSite;
+use crate::site::{LinkCut, TestSite};
 
 /// Guarantees with a time limit apply once there was no disturbance for this long.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -74,6 +74,7 @@
         let request_arrivals = arrivals.get(record.id.as_str()).map_or(&[][..], Vec::as_slice);
         check_request(&site, record, request_arrivals, &mut violations);
     }
+    check_cut_off_hosts(&site, &records, &mut violations);
     let sent_ids: std::collections::HashSet<&str> =
         records.iter().map(|record| record.id.as_str()).collect();
     let unknown_ids = arrivals.keys().filter(|id| !sent_ids.contains(*id)).count();
@@ -188,6 +189,45 @@
     }
 }
 
+/// Checks that hosts which are cut off from all upstreams serve their callers about as well as the
+/// others do, from [`SETTLING_TIME`] after the cut began.
+fn check_cut_off_hosts(site: &TestSite, records: &[RequestRecord], violations: &mut Vec<String>) {
+    let is_cut_off = |record: &RequestRecord, since_before: Duration| {
+        site.link_cuts.iter().any(|cut| {
+            site.hosts[cut.host].caller_addr == record.host_addr
+                && cut.since + since_before <= record.sent_at
+                && cut.ended_at.is_none_or(|ended_at| record.sent_at < ended_at)
+        })
+    };
+    let during_cuts = records.iter().filter(|record| {
+        let settled = |cut: &LinkCut| {
+            cut.since + SETTLING_TIME <= record.sent_at
+                && cut.ended_at.is_none_or(|ended_at| record.sent_at < ended_at)
+        };
+        site.link_cuts.iter().any(settled) && was_undisturbed(site, record.sent_at, record.ended_at)
+    });
+    let (mut cut_off, mut others) = ((0, 0), (0, 0));
+    for record in during_cuts {
+        let counts = match is_cut_off(record, Duration::ZERO) {
+            true if !is_cut_off(record, SETTLING_TIME) => continue,
+            true => &mut cut_off,
+            false => &mut others,
+        };
+        counts.0 += usize::from(matches!(record.outcome, RequestOutcome::Answer(200, _)));
+        counts.1 += 1;
+    }
+    let (served, sent) = cut_off;
+    let (others_served, others_sent) = others;
+    println!("cut off: {served} of {sent} served, others: {others_served} of {others_sent}");
+    let is_worse = served * 3 * others_sent < others_served * 2 * sent;
+    if is_worse && sent - served > 10 + sent / 50 {
+        violations.push(format!(
+            "hosts that were cut off from all upstreams served {served} of {sent} requests, the \
+             others {others_served} of {others_sent}"
+        ));
+    }
+}
+
 /// Returns whether the host that got the request was killed or paused while it had the request, or
 /// less than [`SETTLING_TIME`] before.
 fn host_was_interrupted(site: &TestSite, record: &RequestRecord) -> bool {
--- a/foxtailrouter/tests/soak/faults.rs
+++ b/foxtailrouter/tests/soak/faults.rs
@@ -10,15 +10,19 @@
 use rustix::process::Signal;
 
 use crate::host::STOP_S;
+use crate::links::Cut;
 use crate::proxy::Mode;
-use crate::site::{Disturbance, TestSite};
+use crate::site::{Disturbance, HOST_ZONES, TestSite};
 
-/// The number of kinds of faults for seeds below [`FIRST_SEED_WITH_ALL_KINDS`]. It stays as it is,
+/// The number of kinds of faults for seeds below [`FIRST_LATER_SEED`]. It stays as it is,
 /// so that seeds that failed once still lead to the same faults.
 const EARLY_SEED_FAULT_KINDS: u32 = 12;
+/// The number of kinds of faults for seeds below [`FIRST_SEED_WITH_CUTS`].
+const LATER_SEED_FAULT_KINDS: u32 = 15;
+const FIRST_LATER_SEED: u64 = 100;
 /// The number of kinds of faults for all other seeds.
-const FAULT_KINDS: u32 = 15;
-const FIRST_SEED_WITH_ALL_KINDS: u64 = 100;
+const FAULT_KINDS: u32 = 17;
+const FIRST_SEED_WITH_CUTS: u64 = 1_000;
 
 /// The maximum number of hosts that are down or paused at the same time.
 const MAX_INTERRUPTED_HOSTS: usize = 3;
@@ -37,13 +41,17 @@
     ResetBehavior(usize),
     RestoreSettings(usize),
     EndEvacuation(&'static str),
+    EndCut(Vec<usize>),
 }
 
 /// Injects faults for `span`, then undoes all faults.
 pub(crate) async fn inject(site: &mut TestSite, seed: u64, span: Duration) {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let fault_kinds =
-        if seed >= FIRST_SEED_WITH_ALL_KINDS { FAULT_KINDS } else { EARLY_SEED_FAULT_KINDS };
+    let fault_kinds = match seed {
+        ..FIRST_LATER_SEED => EARLY_SEED_FAULT_KINDS,
+        FIRST_LATER_SEED..FIRST_SEED_WITH_CUTS => LATER_SEED_FAULT_KINDS,
+        _ => FAULT_KINDS,
+    };
     let end = Instant::now() + span;
     let mut pending: Vec<(Instant, Undo)> = Vec::new();
     while Instant::now() < end {
@@ -184,6 +192,21 @@
             site.evacuate(zone);
             pending.push((ends_at, Undo::EndEvacuation(zone)));
         }
+        15 | 16 if !pending.iter().any(|(_, undo)| matches!(undo, Undo::EndCut(_))) => {
+            let cuts = [Cut::Hang, Cut::Reset, Cut::RefuseNew];
+            let zone = HOST_ZONES[host];
+            let extent = rng.random_range(0..3);
+            let affected: Vec<usize> = (0..site.hosts.len())
+                .filter(|other| match extent {
+                    0 => *other == host,
+                    1 => HOST_ZONES[*other] == zone,
+                    _ => *other != host,
+                })
+                .collect();
+            site.cut_off(&affected, *cuts.choose(rng).expect("at least one cut"));
+            let lasts = Duration::from_millis(rng.random_range(2_000..9_000));
+            pending.push((now + lasts, Undo::EndCut(affected)));
+        }
         _ => {}
     }
 }
@@ -224,6 +247,7 @@
                 }
             }
             Undo::EndEvacuation(zone) => site.end_evacuation(zone),
+            Undo::EndCut(hosts) => site.end_cut(&hosts),
         }
     }
 }
--- a/foxtailrouter/tests/soak/host.rs
+++ b/foxtailrouter/tests/soak/host.rs
@@ -4,12 +4,15 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
+use crate::links::Links;
+
 /// The time limit of a graceful shutdown in the hosts' settings, in seconds.
 pub(crate) const STOP_S: f64 = 3.0;
 
@@ -46,12 +49,22 @@
     /// The contents of the settings file while it is not corrupted.
     valid_settings: String,
     log_path: PathBuf,
+    index: usize,
+    links: Arc<Links>,
     child: Option<Child>,
     started_at: Instant,
 }
 
 impl Host {
-    pub(crate) fn new(dir: &Path, name: &str, zone: &str, store: SocketAddr) -> Self {
+    /// Creates the host with the number `index`, without starting it.
+    pub(crate) fn new(
+        dir: &Path,
+        index: usize,
+        zone: &str,
+        store: SocketAddr,
+        links: &Arc<Links>,
+    ) -> Self {
+        let name = format!("h-{index}");
         let addrs = [(); 4].map(|()| free_addr());
         let addr = |n: usize| addrs[n];
         let settings = json!({
@@ -74,6 +87,8 @@
             settings_path: path,
             valid_settings,
             log_path,
+            index,
+            links: Arc::clone(links),
             child,
             started_at,
         }
@@ -91,7 +106,9 @@
             .arg(&self.settings_path)
             .stdout(Stdio::from(log))
             .spawn();
-        self.child = Some(child.expect("the host process starts"));
+        let child = child.expect("the host process starts");
+        self.links.set_process(self.index, child.id());
+        self.child = Some(child);
         self.started_at = Instant::now();
     }
 
--- a/foxtailrouter/tests/soak/main.rs
+++ b/foxtailrouter/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod check;
 mod faults;
 mod host;
+mod links;
 mod proxy;
 mod site;
 
@@ -32,15 +33,16 @@
 ///   test waits for them.
 const REGRESSIONS: [u64; 7] = [3, 12, 30, 31, 105, 132, 138];
 
-/// The seeds that run after the regressions if `FOXTAIL_SOAK_SEEDS` is not set.
-const DEFAULT_SEEDS: Range<u64> = 100..102;
+/// The seeds that run after the regressions if `FOXTAIL_SOAK_SEEDS` is not set. Of these, the last
+/// ones cut hosts off from all upstreams.
+const DEFAULT_SEEDS: [Range<u64>; 2] = [100..102, 1_000..1_002];
 
 /// For how many seconds faults are injected if `FOXTAIL_SOAK_SECONDS` is not set.
 const DEFAULT_FAULT_SECONDS: u64 = 8;
 
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("FOXTAIL_SOAK_SEEDS") else {
-        return REGRESSIONS.into_iter().chain(DEFAULT_SEEDS).collect();
+        return REGRESSIONS.into_iter().chain(DEFAULT_SEEDS.into_iter().flatten()).collect();
     };
     let number = |text: &str| text.parse::<u64>().expect("FOXTAIL_SOAK_SEEDS must be N or N..M");
     match text.split_once("..") {
--- a/foxtailrouter/tests/soak/proxy.rs
+++ b/foxtailrouter/tests/soak/proxy.rs
@@ -1,4 +1,5 @@
-//! A loopback proxy in front of an upstream that delays, holds back or resets connections.
+//! A loopback proxy in front of an upstream that delays, holds back or resets connections, or those
+//! of some hosts only.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use crate::links::{CUT_CHECK_INTERVAL, Cut, Links};
+
 /// What the proxy does with the bytes that it relays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mode {
@@ -30,10 +33,12 @@
 }
 
 impl Proxy {
-    pub(crate) async fn start(to: SocketAddr) -> Self {
+    pub(crate) async fn start(to: SocketAddr, links: &Arc<Links>) -> Self {
         let mode = Arc::new(Mutex::new(Mode::Pass));
-        let relay_mode = Arc::clone(&mode);
-        let listener = Listener::open(move |stream| relay(stream, to, Arc::clone(&relay_mode)));
+        let (relay_mode, links) = (Arc::clone(&mode), Arc::clone(links));
+        let listener = Listener::open(move |stream| {
+            relay_over_link(stream, to, Arc::clone(&relay_mode), Arc::clone(&links))
+        });
         let listener = listener.await.expect("a free port");
         Self { addr: listener.addr(), mode, listener }
     }
@@ -47,6 +52,43 @@
     }
 }
 
+/// Relays a connection while the link of its host is not cut.
+async fn relay_over_link(
+    stream: TcpStream,
+    to: SocketAddr,
+    mode: Arc<Mutex<Mode>>,
+    links: Arc<Links>,
+) {
+    let (from, own) = (stream.peer_addr(), stream.local_addr());
+    let host = from.ok().zip(own.ok()).and_then(|(from, own)| links.host_of(from, own));
+    match links.cut(host) {
+        Some(Cut::Reset | Cut::RefuseNew) => return,
+        Some(Cut::Hang) => {
+            // What the host sends meanwhile is lost with the connection.
+            while links.cut(host) == Some(Cut::Hang) {
+                tokio::time::sleep(CUT_CHECK_INTERVAL).await;
+            }
+            return;
+        }
+        None => {}
+    }
+    let is_cut_off = async {
+        while !matches!(links.cut(host), Some(Cut::Hang | Cut::Reset)) {
+            tokio::time::sleep(CUT_CHECK_INTERVAL).await;
+        }
+    };
+    let relayed = relay(stream, to, mode);
+    tokio::pin!(relayed);
+    tokio::select! {
+        () = &mut relayed => return,
+        () = is_cut_off => {}
+    }
+    // Without polling, nothing is delivered.
+    while links.cut(host) == Some(Cut::Hang) {
+        tokio::time::sleep(CUT_CHECK_INTERVAL).await;
+    }
+}
+
 async fn relay(host: TcpStream, to: SocketAddr, mode: Arc<Mutex<Mode>>) {
     // A crashed upstream refuses the connection; then the host's connection is closed as well.
     let Ok(upstream) = TcpStream::connect(to).await else { return };
--- a/foxtailrouter/tests/soak/site.rs
+++ b/foxtailrouter/tests/soak/site.rs
@@ -13,9 +13,10 @@
 
 use crate::caller::{self, RequestRecord};
 use crate::host::Host;
+use crate::links::{Cut, Links};
 use crate::proxy::Proxy;
 
-const HOST_ZONES: [&str; 6] = ["a1", "a2", "b1", "a1", "a2", "b1"];
+pub(crate) const HOST_ZONES: [&str; 6] = ["a1", "a2", "b1", "a1", "a2", "b1"];
 const CALLER_COUNT: u64 = 8;
 
 /// How long it may take until all hosts are ready.
@@ -38,6 +39,14 @@
     pub(crate) to: Instant,
 }
 
+/// A time in which a host was cut off from all upstreams.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LinkCut {
+    pub(crate) host: usize,
+    pub(crate) since: Instant,
+    pub(crate) ended_at: Option<Instant>,
+}
+
 /// The evacuation of a zone, with its start and end.
 pub(crate) struct Evacuation {
     pub(crate) zone: &'static str,
@@ -50,6 +59,8 @@
     pub(crate) store: Arc<Store>,
     pub(crate) store_endpoints: Vec<StoreEndpoint>,
     pub(crate) hosts: Vec<Host>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) link_cuts: Vec<LinkCut>,
     pub(crate) upstreams: Vec<Upstream>,
     /// The time of each write of the configuration, and the service that its routes name.
     pub(crate) config_writes: Vec<(Instant, &'static str)>,
@@ -74,6 +85,8 @@
             store: Store::new(),
             store_endpoints: Vec::new(),
             hosts: Vec::new(),
+            links: Arc::default(),
+            link_cuts: Vec::new(),
             upstreams: Vec::new(),
             config_writes: Vec::new(),
             evacuations: Vec::new(),
@@ -94,7 +107,7 @@
         }
         for (n, zone) in HOST_ZONES.into_iter().enumerate() {
             let endpoint = StoreEndpoint::open(&site.store).await.expect("a free port");
-            let mut host = Host::new(&site.dir, &format!("h-{n}"), zone, endpoint.addr());
+            let mut host = Host::new(&site.dir, n, zone, endpoint.addr(), &site.links);
             host.start();
             site.store_endpoints.push(endpoint);
             site.hosts.push(host);
@@ -131,13 +144,32 @@
         self.store.delete_row("op", &format!("evacuate/{zone}"));
     }
 
+    /// Cuts off hosts from all upstreams.
+    pub(crate) fn cut_off(&mut self, hosts: &[usize], cut: Cut) {
+        let since = Instant::now();
+        for &host in hosts {
+            self.links.set_cut(host, Some(cut));
+            self.link_cuts.push(LinkCut { host, since, ended_at: None });
+        }
+    }
+
+    pub(crate) fn end_cut(&mut self, hosts: &[usize]) {
+        for &host in hosts {
+            self.links.set_cut(host, None);
+            let cuts = self.link_cuts.iter_mut().filter(|cut| cut.host == host);
+            cuts.for_each(|cut| {
+                cut.ended_at.get_or_insert(Instant::now());
+            });
+        }
+    }
+
     /// Starts an upstream and registers it.
     pub(crate) async fn add_upstream(&mut self, service_name: &'static str, zone: &'static str) {
         self.upstream_count += 1;
         let server = UpstreamServer::start(&format!("u-{}", self.upstream_count), 4)
             .await
             .expect("a free port");
-        let proxy = Proxy::start(server.addr()).await;
+        let proxy = Proxy::start(server.addr(), &self.links).await;
         let up =
             Upstream { server, proxy, service_name, zone, draining_since: None, crashed: false };
         self.register(&up, "ready");
