--- a/foxtailrouter/tests/soak/check.rs
+++ b/foxtailrouter/tests/soak/check.rs
@@ -204,7 +204,7 @@
             cut.since + SETTLING_TIME <= record.sent_at
                 && cut.ended_at.is_none_or(|ended_at| record.sent_at < ended_at)
         };
-        site.link_cuts.iter().any(settled) && was_undisturbed(site, record.sent_at, record.ended_at)
+        site.link_cuts.iter().any(settled) && !host_was_interrupted(site, record)
     });
     let (mut cut_off, mut others) = ((0, 0), (0, 0));
     for record in during_cuts {
