fix(entry): a request that was offered to no other host in time has not run

A host that lost its upstreams told callers 504 answer-lost if the deadline passed while it was connecting to another host, although nothing was sent. Such an offer now counts as not sent, and the caller gets 503 with Retry-After. The test failed before with 504.

--- a/foxtail-entry/src/relay.rs
+++ b/foxtail-entry/src/relay.rs
@@ -6,12 +6,14 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use bytes::Bytes;
 use foxtail_net::http::{Body, full_body};
 use foxtail_steer::relay::{MAX_RELAY_OFFERS, RelayedRequest};
 use foxtail_steer::rendezvous;
 use foxtail_steer::steering::Outcome;
 use foxtail_types::prelude::*;
 use foxtail_types::reason::Reason;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
@@ -120,6 +122,9 @@
     let mut tried = Vec::new();
     while tried.len() < MAX_RELAY_OFFERS {
         let now = cx.now();
+        if now >= fwd.deadline {
+            break;
+        }
         let target = {
             let fleet = cx.fleet.lock();
             fleet
@@ -127,10 +132,7 @@
                 .map(|host| (host.id.clone(), host.caller))
         };
         let Some((host, addr)) = target else { break };
-        relayed.time_left = fwd.deadline.since(now);
-        let left = relayed.time_left.duration();
-        let offer = tokio::time::timeout(left, offer(cx, fwd, &relayed, &host, addr)).await;
-        let offer = offer.unwrap_or(Offer::MayHaveRun(Outcome::TimedOut));
+        let offer = offer(cx, fwd, &mut relayed, &host, addr).await;
         let outcome = match &offer {
             Offer::Done(disposition, _) => disposition.as_str(),
             Offer::NotSent(_) => "unreachable",
@@ -162,22 +164,37 @@
     RelayOutcome::NotTaken
 }
 
-/// Sends the request to one host and reads its response.
+/// Sends the request to one host and reads its response, until the deadline.
 async fn offer(
     cx: &HostContext,
     fwd: &ForwardedRequest<'_>,
-    relayed: &RelayedRequest,
+    relayed: &mut RelayedRequest,
     host: &HostId,
     addr: SocketAddr,
 ) -> Offer {
-    let mut conn = match connect(cx, fwd, host, addr).await {
-        Ok(conn) => conn,
-        Err(e) => return Offer::NotSent(e),
+    let left = fwd.deadline.since(cx.now()).duration();
+    let conn = match tokio::time::timeout(left, connect(cx, fwd, host, addr)).await {
+        Ok(Ok(conn)) => conn,
+        Ok(Err(e)) => return Offer::NotSent(e),
+        Err(_) => return Offer::NotSent(std::io::ErrorKind::TimedOut.into()),
     };
+    relayed.time_left = fwd.deadline.since(cx.now());
     let req = match relay_request(fwd, relayed) {
         Ok(req) => req,
         Err(e) => return Offer::NotSent(std::io::Error::other(e)),
     };
+    let left = relayed.time_left.duration();
+    let exchanged = tokio::time::timeout(left, exchange(cx, fwd, host, conn, req)).await;
+    exchanged.unwrap_or(Offer::MayHaveRun(Outcome::TimedOut))
+}
+
+async fn exchange(
+    cx: &HostContext,
+    fwd: &ForwardedRequest<'_>,
+    host: &HostId,
+    mut conn: Conn,
+    req: Request<Full<Bytes>>,
+) -> Offer {
     let response = match conn.sender.try_send_request(req).await {
         Ok(response) => response,
         // The library returns the request only if no byte of it was written.
@@ -205,7 +222,7 @@
 fn relay_request(
     fwd: &ForwardedRequest<'_>,
     relayed: &RelayedRequest,
-) -> anyhow::Result<Request<http_body_util::Full<bytes::Bytes>>> {
+) -> anyhow::Result<Request<Full<Bytes>>> {
     let mut req = fwd.to_request();
     let value = HeaderValue::from_bytes(&serde_json::to_vec(relayed)?)?;
     req.headers_mut().insert(RELAY, value);
--- a/foxtail-entry/tests/cut_off.rs
+++ b/foxtail-entry/tests/cut_off.rs
@@ -253,6 +253,34 @@
     site.stop().await;
 }
 
+#[tokio::test]
+async fn request_whose_deadline_passes_while_another_host_is_connected_is_told_that_it_did_not_run()
+{
+    let site = TestSite::new();
+    site.configure(7);
+    let ups = [site.upstream("up-1", "a1").await, site.upstream("up-2", "b1").await];
+    let endpoint = site.store_endpoint().await;
+    let other = site.ready_host("h-1", "a2", &endpoint).await;
+    let addrs = ups.iter().map(UpstreamServer::addr).chain([other.settings().caller]);
+    let dial = CutDial::new(addrs);
+    let host = site.host_with_dial("h-0", "a1", &endpoint, dial.arc()).await;
+    until("the host is ready", async || common::ready(&host).await).await;
+    until("it knows the other one", async || {
+        common::metric(&host, "hosts_alive").await == Some(2.0)
+    })
+    .await;
+    dial.set(Some(Cut::Hang));
+    until("the host has lost its upstreams", async || {
+        exchange(host.settings().caller, &request("GET", "/read/1", "first", 900, "")).await;
+        common::metric(&host, "upstreams_lost").await == Some(1.0)
+    })
+    .await;
+    let got = exchange(host.settings().caller, &request("POST", "/write/1", "r1", 300, "")).await;
+    assert_eq!(got.status, 503, "{}", got.body);
+    host.stop().await;
+    other.stop().await;
+}
+
 #[tokio::test]
 async fn request_whose_deadline_passes_while_a_connection_is_made_is_told_that_it_did_not_run() {
     let site = TestSite::new();
