fix(entry): an upstream counts once against a request also before it is confirmed

A request that broke connections twice to the same upstream was refused after two different upstreams instead of three, for half a second: strikes that were held back were counted beside the confirmed ones against the same incarnation. The test of bars for callers of a cut-off host failed once in four runs, and showed it (2 upstreams where 3 are allowed).

--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -182,9 +182,9 @@
 
 /// Returns for how long a request is refused because it crashed upstreams, if it is.
 fn barred_for(cx: &HostContext, request: Fingerprint, now: Millis) -> Option<Millis> {
-    let unconfirmed = cx.unconfirmed_strikes.lock().count(request);
+    let unconfirmed = cx.unconfirmed_strikes.lock();
     let suspects = cx.suspects.lock();
-    let would_be_barred = suspects.strikes_against(request, now) + unconfirmed >= MAX_STRIKES;
+    let would_be_barred = unconfirmed.count_with(&suspects, request, now) >= MAX_STRIKES;
     suspects.barred_for(request, now).or(would_be_barred.then_some(UNCONFIRMED_BAR))
 }
 
--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -121,9 +121,11 @@
         started: Option<Millis>,
         now: Millis,
     ) -> Option<usize> {
-        let started = started.unwrap_or_default().0;
-        let upstream = rendezvous::weight(started, upstream.as_str());
-        self.insert(request, StoredStrike { upstream, at: now }, now)
+        self.insert(
+            request,
+            StoredStrike { upstream: incarnation(upstream, started), at: now },
+            now,
+        )
     }
 
     /// Records a strike that another host shared. Returns the request's number of strikes, or
@@ -140,6 +142,19 @@
         self.insert(strike.request, StoredStrike { upstream: strike.upstream, at }, now)
     }
 
+    /// Returns whether an incarnation of an upstream has a current strike against `request`.
+    pub fn has_strike(
+        &self,
+        request: Fingerprint,
+        upstream: &UpstreamId,
+        started: Option<Millis>,
+        now: Millis,
+    ) -> bool {
+        let upstream = incarnation(upstream, started);
+        let mut strikes = self.requests.get(&request).into_iter().flatten();
+        strikes.any(|strike| strike.upstream == upstream && is_current(strike, now))
+    }
+
     /// Returns the number of current strikes against `request`.
     pub fn strikes_against(&self, request: Fingerprint, now: Millis) -> usize {
         let strikes = self.requests.get(&request).into_iter().flatten();
@@ -276,6 +291,11 @@
     }
 }
 
+/// Returns a stable hash of an upstream's incarnation.
+fn incarnation(upstream: &UpstreamId, started: Option<Millis>) -> u64 {
+    rendezvous::weight(started.unwrap_or_default().0, upstream.as_str())
+}
+
 fn is_current(strike: &StoredStrike, now: Millis) -> bool {
     now.since(strike.at) <= STRIKE_LIFETIME
 }
--- a/foxtail-steer/src/unconfirmed.rs
+++ b/foxtail-steer/src/unconfirmed.rs
@@ -7,11 +7,11 @@
 //! upstream or the request was at fault. For the same reason attempts at one request that were under
 //! way together count as one when their connections break.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use foxtail_types::prelude::*;
 
-use crate::suspects::Fingerprint;
+use crate::suspects::{Fingerprint, Suspects};
 
 /// Most strikes that are held back, and most requests whose last strike is kept; the oldest are
 /// dropped first.
@@ -70,7 +70,22 @@
 
     /// Returns the number of strikes against `request`.
     pub fn count(&self, request: Fingerprint) -> usize {
-        self.strikes.iter().filter(|strike| strike.request == request).count()
+        self.strikes_against(request).count()
+    }
+
+    /// Returns the number of strikes that `request` has with those in `suspects`. An incarnation of an
+    /// upstream counts once.
+    pub fn count_with(&self, suspects: &Suspects, request: Fingerprint, now: Millis) -> usize {
+        let unconfirmed: BTreeSet<(&UpstreamId, Option<Millis>)> = self
+            .strikes_against(request)
+            .filter(|strike| !suspects.has_strike(request, &strike.upstream, strike.started, now))
+            .map(|strike| (&strike.upstream, strike.started))
+            .collect();
+        unconfirmed.len() + suspects.strikes_against(request, now)
+    }
+
+    fn strikes_against(&self, request: Fingerprint) -> impl Iterator<Item = &UnconfirmedStrike> {
+        self.strikes.iter().filter(move |strike| strike.request == request)
     }
 
     /// Returns whether there are none.
