--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -195,7 +195,10 @@
         self.record_answer(answer.request, Answer { at, share_until });
     }
 
-    fn record_answer(&mut self, request: Fingerprint, answer: Answer) {
+    fn record_answer(&mut self, request: Fingerprint, mut answer: Answer) {
+        if let Some(previous) = self.answers.get(&request) {
+            answer.share_until = answer.share_until.max(previous.share_until);
+        }
         if self.answers.len() >= MAX_ANSWERED_REQUESTS && !self.answers.contains_key(&request) {
             // Dropping the older half at once costs little for each answer.
             let mut times: Vec<Millis> = self.answers.values().map(|answer| answer.at).collect();
--- a/foxtail-steer/tests/suspects.rs
+++ b/foxtail-steer/tests/suspects.rs
@@ -111,6 +111,24 @@
     assert_eq!(strikes.count(fingerprint("/hot")), 1);
 }
 
+#[test]
+fn an_answer_that_others_do_not_know_is_shared_although_more_answers_follow() {
+    let (mut answered, mut barred) = (Suspects::default(), Suspects::default());
+    let request = fingerprint("/hot");
+    answered.clear(request, Millis(2_000));
+    for n in 0..3 {
+        barred.record_strike(request, &upstream_id(&format!("u{n}")), None, Millis(1_000));
+    }
+    for strike in barred.strikes_to_share(Millis(2_100)) {
+        assert_eq!(answered.add_shared_strike(&strike, Millis(2_100)), None);
+    }
+    answered.clear(request, Millis(2_200));
+    for answer in answered.answers_to_share(Millis(2_300)) {
+        barred.add_shared_answer(&answer, Millis(2_300));
+    }
+    assert_eq!(barred.barred_for(request, Millis(2_300)), None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(16))]
     #[test]
