--- a/foxtail-entry/src/probe.rs
+++ b/foxtail-entry/src/probe.rs
@@ -67,10 +67,10 @@
 
 /// Requests the health of an upstream. Any answer shows that it is reached.
 async fn probe(cx: &HostContext, up: &Upstream) -> ProbeOutcome {
-    let path = {
-        let steering = cx.steering.lock();
-        let service = steering.config().and_then(|cfg| cfg.service(&up.service));
-        service.map_or_else(|| "/".to_owned(), |service| service.health_path.clone())
+    let cfg = cx.steering.lock().config().cloned();
+    let service = cfg.as_ref().and_then(|cfg| cfg.service(&up.service));
+    let Some(path) = service.map(|service| service.health_path.clone()) else {
+        return ProbeOutcome::Unanswered;
     };
     let outcome = tokio::time::timeout(PROBE_TIMEOUT.duration(), request_health(cx, up, &path));
     let outcome = outcome.await.unwrap_or(ProbeOutcome::Unanswered);
--- a/foxtail-entry/tests/serving.rs
+++ b/foxtail-entry/tests/serving.rs
@@ -246,7 +246,7 @@
     let got = common::exchange_on(&mut stream, &whole[..whole.len() - 4]).await;
     assert!(got.status == 0 || got.status == 408, "{got:?}");
     assert!(started.elapsed() < std::time::Duration::from_secs(4), "{:?}", started.elapsed());
-    assert!(up.received_requests().is_empty());
+    assert_eq!(up.received_requests(), []);
     host.stop().await;
 }
 
--- a/foxtail-steer/tests/cut_off/main.rs
+++ b/foxtail-steer/tests/cut_off/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod simulation;
 
+use foxtail_steer::Steering;
 use foxtail_steer::reachability::{Change, ProbeOutcome, ProbeReasons, Reachability};
 use foxtail_types::prelude::*;
 use simulation::{Cut, Manner, Scenario, Simulation, zone_of};
@@ -129,6 +130,21 @@
     assert!(!reachability.is_suspected(Millis(200)));
 }
 
+#[test]
+fn upstreams_of_services_that_the_configuration_does_not_list_are_not_probed() {
+    let mut steering = Steering::new(common::options("h", "a"));
+    steering.set_config(common::config(1, 5.0));
+    steering.set_upstream(common::upstream("listed", "a1"), Millis(0));
+    let mut other = common::upstream("other", "b1");
+    other.service = "unknown".parse().unwrap();
+    steering.set_upstream(other, Millis(0));
+    for round in 0..10 {
+        let probed = steering.upstreams_to_probe(round, Millis(100));
+        let ids: Vec<&str> = probed.iter().map(|up| up.id.as_str()).collect();
+        assert_eq!(ids, ["listed"]);
+    }
+}
+
 #[test]
 fn a_single_slow_request_is_no_loss_of_all_upstreams() {
     let mut reachability = Reachability::default();
