--- a/foxtailrouter/tests/soak/check.rs
+++ b/foxtailrouter/tests/soak/check.rs
@@ -27,6 +27,9 @@
 /// The part of [`FAULT_FREE_TIME`] in which hosts may still be recovering.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 
+/// How many arrivals of a request that no caller sent are shown.
+const MAX_SHOWN_ARRIVALS: usize = 3;
+
 /// The arrival of a request at an upstream.
 struct Arrival<'a> {
     request: &'a ReceivedRequest,
@@ -77,10 +80,13 @@
     check_cut_off_hosts(&site, &records, &mut violations);
     let sent_ids: std::collections::HashSet<&str> =
         records.iter().map(|record| record.id.as_str()).collect();
-    let unknown_ids = arrivals.keys().filter(|id| !sent_ids.contains(*id)).count();
-    if unknown_ids > 0 {
-        violations
-            .push(format!("upstreams got requests with {unknown_ids} ids that no caller sent"));
+    for (id, arrivals) in arrivals.iter().filter(|(id, _)| !sent_ids.contains(*id)) {
+        let lines: Vec<(&str, &str)> = arrivals
+            .iter()
+            .map(|arrival| (arrival.upstream, arrival.request.request_line.as_str()))
+            .take(MAX_SHOWN_ARRIVALS)
+            .collect();
+        violations.push(format!("upstreams got `{id}`, which no caller sent: {lines:?}"));
     }
     let after_recovery: Vec<&RequestRecord> =
         records.iter().filter(|record| record.sent_at > faults_ended_at + RECOVERY_TIME).collect();
