fix(steer): requests relayed to hosts with silent links do not wait there for their deadline

Change: while no upstream answers anything, the second host hands back a request that may be repeated after a quarter of its time, with the upstreams that got it, and the first one offers it to the next host. A host that has lost its upstreams gives up what it has under way there: what may be repeated is relayed, what may not ends with 502 once two more rounds of probes went unanswered. Hosts of earlier versions do not take requests back, and get the response as before.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use foxtail_net::http::{Body, BodyError, full_body};
-use foxtail_steer::notice::NoticeReport;
+use foxtail_steer::reachability::{Wait, WaitingRequest};
 use foxtail_steer::steering::{AttemptReport, Outcome};
 use foxtail_steer::{Route, Upstream};
 use foxtail_types::prelude::*;
@@ -13,12 +13,12 @@
 use hyper::http::header::CONTENT_LENGTH;
 use hyper::http::{HeaderMap, Method, Uri};
 use hyper::{Request, Response, Version as HttpVersion};
-use parking_lot::Mutex;
 use tokio::time::{Instant, timeout_at};
 
 use crate::context::HostContext;
 use crate::pool::Conn;
 use crate::ports::{DispatchInfo, ResponseInfo};
+use crate::relay::RelayFeedback;
 
 /// Responses of up to this many bytes are read completely before forwarding, so that the request
 /// can be retried at another upstream if the connection breaks in the middle.
@@ -39,8 +39,11 @@
     pub(crate) body: Bytes,
     /// When the attempt is abandoned.
     pub(crate) deadline: Millis,
-    /// What the upstreams that answered said of themselves.
-    pub(crate) notices: &'a Mutex<Vec<NoticeReport>>,
+    /// How long the request waits without an answer from any upstream before it is handed back to the
+    /// host that relayed it, if one did.
+    pub(crate) relay_patience: Option<Millis>,
+    /// What a host that relayed the request has to know.
+    pub(crate) feedback: &'a RelayFeedback,
 }
 
 /// The outcome of an attempt.
@@ -51,6 +54,8 @@
     NotRun(Outcome),
     /// The upstream may have run the request.
     MayHaveRun(Outcome),
+    /// The request was given up since no upstream answers this host; the upstream may have run it.
+    GivenUp,
 }
 
 /// Reports the outcome of an attempt to steering, metrics and log. Reports a cancellation if it is
@@ -152,19 +157,50 @@
         reported: false,
     };
     let left = fwd.deadline.since(started).duration();
-    match tokio::time::timeout(left, send(cx, up, fwd, &mut guard)).await {
-        Ok(outcome) => outcome,
-        Err(_) if !guard.sent => {
+    let ended = tokio::time::timeout(left, send_while_answered(cx, up, fwd, &mut guard)).await;
+    match ended {
+        Ok(Some(outcome)) => outcome,
+        Ok(None) if guard.sent => {
+            guard.report(Outcome::Cancelled, None);
+            AttemptOutcome::GivenUp
+        }
+        Ok(None) | Err(_) if !guard.sent => {
             guard.report(Outcome::Unreachable, None);
             AttemptOutcome::NotRun(Outcome::Unreachable)
         }
-        Err(_) => {
+        _ => {
             guard.report(Outcome::TimedOut, None);
             AttemptOutcome::MayHaveRun(Outcome::TimedOut)
         }
     }
 }
 
+/// As [`send`]; returns `None` if the request is given up because no upstream answers this host.
+async fn send_while_answered(
+    cx: &HostContext,
+    up: &Upstream,
+    fwd: &ForwardedRequest<'_>,
+    guard: &mut AttemptGuard<'_>,
+) -> Option<AttemptOutcome> {
+    let waiting = WaitingRequest {
+        sent_at: guard.started,
+        idempotent: fwd.route.idempotent,
+        relay_patience: fwd.relay_patience,
+    };
+    let mut sending = std::pin::pin!(send(cx, up, fwd, guard));
+    loop {
+        let lost = cx.upstreams_lost.notified();
+        let Wait::Continue(end) = cx.reachability.lock().wait(&waiting, cx.now()) else {
+            return None;
+        };
+        tokio::select! {
+            outcome = sending.as_mut() => return Some(outcome),
+            () = lost => {}
+            () = tokio::time::sleep(end.unwrap_or_default().duration()), if end.is_some() => {}
+        }
+    }
+}
+
 async fn send(
     cx: &HostContext,
     up: &Upstream,
@@ -247,7 +283,7 @@
     }
     cx.record_limit(up, response.status(), &info, guard.started);
     if let Some(report) = cx.record_notice(up, &info, "answer") {
-        fwd.notices.lock().push(report);
+        fwd.feedback.notices.lock().push(report);
     }
     if info.moved || info.not_run {
         let outcome = if info.moved { Outcome::WrongInstance } else { Outcome::Shed };
--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -39,6 +39,8 @@
     pub(crate) reachability: Mutex<Reachability>,
     /// Wakes the task that probes upstreams.
     pub(crate) probe_upstreams: Notify,
+    /// Wakes the requests that wait for upstreams, because this host lost them.
+    pub(crate) upstreams_lost: Notify,
     /// Wakes the task that informs other hosts of changes in the store or of strikes.
     pub(crate) notify_peers: Notify,
     /// Wakes the task that informs other hosts, because this host can serve a large change to them.
@@ -93,6 +95,7 @@
             unconfirmed_strikes: Mutex::default(),
             reachability: Mutex::default(),
             probe_upstreams: Notify::new(),
+            upstreams_lost: Notify::new(),
             notify_peers: Notify::new(),
             announce_source: Notify::new(),
             tasks: TaskTracker::new(),
--- a/foxtail-entry/src/past_attempts.rs
+++ b/foxtail-entry/src/past_attempts.rs
@@ -50,6 +50,12 @@
         self.timed_out |= outcome == Outcome::TimedOut;
     }
 
+    /// Records what other hosts did with the request that handed it back.
+    pub(crate) fn record_handed_back(&mut self, relayed: RelayedRequest) {
+        self.may_have_run |= relayed.may_have_run;
+        self.reached = relayed.attempted;
+    }
+
     pub(crate) fn may_retry(&self, route: &Route) -> bool {
         (route.idempotent || !self.may_have_run)
             && !self.timed_out
--- a/foxtail-entry/src/probe.rs
+++ b/foxtail-entry/src/probe.rs
@@ -169,6 +169,7 @@
         if lost {
             // What is left of these connections may be silent for long.
             self.pool.retain(|_| false);
+            self.upstreams_lost.notify_waiters();
         }
     }
 }
--- a/foxtail-entry/src/relay.rs
+++ b/foxtail-entry/src/relay.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use foxtail_net::http::{Body, full_body};
 use foxtail_steer::notice::NoticeReport;
-use foxtail_steer::relay::{MAX_RELAY_OFFERS, RelayedRequest};
+use foxtail_steer::relay::{HandedBack, MAX_RELAY_OFFERS, RelayedRequest};
 use foxtail_steer::rendezvous;
 use foxtail_steer::steering::Outcome;
 use foxtail_types::prelude::*;
@@ -19,6 +19,7 @@
 use hyper::http::header::RETRY_AFTER;
 use hyper::http::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
+use parking_lot::Mutex;
 
 use crate::attempt::{ForwardedRequest, ResponseBody, chain_body, outcome_name, read_body};
 use crate::context::HostContext;
@@ -30,6 +31,19 @@
 /// a space and the [`NoticeReport`]s in JSON.
 const RELAY: HeaderName = HeaderName::from_static("foxtail-relay");
 
+/// In responses to relayed requests that are handed back although upstreams got them: the [`HandedBack`]
+/// in JSON.
+const HANDED_BACK: HeaderName = HeaderName::from_static("foxtail-relay-attempts");
+
+/// What the host that relayed a request has to know of how it was served.
+#[derive(Default)]
+pub(crate) struct RelayFeedback {
+    /// What the upstreams that answered said of themselves.
+    pub(crate) notices: Mutex<Vec<NoticeReport>>,
+    /// What was done with the request, if it is handed back although upstreams got it.
+    pub(crate) handed_back: Mutex<Option<HandedBack>>,
+}
+
 /// What the host that a request was relayed to did with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Disposition {
@@ -72,6 +86,8 @@
 /// How the call to one host ended.
 enum Offer {
     Done(Disposition, Response<Body>),
+    /// The host handed the request back.
+    HandedBack { disposition: Disposition, by: HandedBack },
     /// The host did not get the request.
     NotSent(std::io::Error),
     MayHaveRun(Outcome),
@@ -93,12 +109,13 @@
     relayed.inspect_err(|e| tracing::warn!(event = "relay_unreadable", %from, error = %e)).ok()
 }
 
-/// Marks the response to a relayed request with what this host did with it, and with what upstreams
-/// said of themselves meanwhile.
+/// Marks the response to `relayed` with what this host did with it, and with what upstreams said of
+/// themselves meanwhile.
 pub(crate) fn mark_response(
     cx: &HostContext,
     response: Result<Response<Body>, Refusal>,
-    notices: &[NoticeReport],
+    relayed: &RelayedRequest,
+    feedback: RelayFeedback,
 ) -> Response<Body> {
     let disposition = match &response {
         Ok(_) => Disposition::Answered,
@@ -118,14 +135,27 @@
         Disposition::NotTaken | Disposition::UpstreamsLost => "served-not-taken",
     });
     let mut response = response.unwrap_or_else(|refusal| refusal.response());
-    response.headers_mut().insert(RELAY, response_value(disposition, notices));
+    strip_mark(&mut response);
+    let notices =
+        if relayed.wants_notices { feedback.notices.into_inner() } else { Vec::new() };
+    response.headers_mut().insert(RELAY, response_value(disposition, &notices));
+    if let Some(handed_back) = feedback.handed_back.into_inner() {
+        let value = serde_json::to_vec(&handed_back).map_err(anyhow::Error::from);
+        match value.and_then(|json| Ok(HeaderValue::from_bytes(&json)?)) {
+            Ok(value) => {
+                response.headers_mut().insert(HANDED_BACK, value);
+            }
+            Err(e) => tracing::warn!(event = "attempts_not_encoded", error = %e),
+        }
+    }
     response
 }
 
-/// Removes the mark of a host from a response that is not for one. An upstream may have set it, and the
+/// Removes the marks of a host from a response that is not from one. An upstream may have set it, and the
 /// caller may be a host that takes this one for one of a version that relays.
 pub(crate) fn strip_mark(response: &mut Response<Body>) {
     response.headers_mut().remove(RELAY);
+    response.headers_mut().remove(HANDED_BACK);
 }
 
 fn response_value(disposition: Disposition, notices: &[NoticeReport]) -> HeaderValue {
@@ -157,7 +187,7 @@
 pub(crate) async fn relay(
     cx: &Arc<HostContext>,
     fwd: &ForwardedRequest<'_>,
-    mut relayed: RelayedRequest,
+    relayed: &mut RelayedRequest,
 ) -> RelayOutcome {
     let key = rendezvous::hash(fwd.id);
     let mut tried = Vec::new();
@@ -174,9 +204,10 @@
                 .map(|host| (host.id.clone(), host.caller))
         };
         let Some((host, addr)) = target else { break };
-        let offer = offer(cx, fwd, &mut relayed, &host, addr).await;
+        let offer = offer(cx, fwd, relayed, &host, addr).await;
         let outcome = match &offer {
             Offer::Done(disposition, _) => disposition.as_str(),
+            Offer::HandedBack { .. } => "handed-back",
             Offer::NotSent(_) => "unreachable",
             Offer::MayHaveRun(outcome) => outcome_name(*outcome),
         };
@@ -194,6 +225,13 @@
             },
         );
         match offer {
+            Offer::HandedBack { disposition, by } => {
+                if disposition == Disposition::UpstreamsLost {
+                    cx.fleet.lock().record_upstreams_lost(&host);
+                }
+                relayed.record_handed_back(by);
+                tried.push(host);
+            }
             Offer::Done(Disposition::UpstreamsLost, _) => {
                 cx.fleet.lock().record_upstreams_lost(&host);
                 tried.push(host);
@@ -291,6 +329,7 @@
 ) -> Offer {
     let (mut head, body) = response.into_parts();
     let marked = head.headers.remove(RELAY).as_ref().and_then(parse_response_value);
+    let handed_back = head.headers.remove(HANDED_BACK);
     let Some((disposition, notices)) = marked else {
         // A host that does not know this one has served the request as a caller's own.
         return Offer::MayHaveRun(Outcome::Broken);
@@ -303,7 +342,14 @@
             let limits = cx.steering.lock().config().map(|cfg| cfg.limits).unwrap_or_default();
             conn.idle_timeout = Some(limits.idle_timeout);
             cx.relay_pool.put(host, conn, cx.now());
-            Offer::Done(disposition, Response::from_parts(head, full_body(bytes)))
+            match handed_back.map(|value| serde_json::from_slice::<HandedBack>(value.as_bytes())) {
+                None => Offer::Done(disposition, Response::from_parts(head, full_body(bytes))),
+                Some(Ok(by)) => Offer::HandedBack { disposition, by },
+                Some(Err(e)) => {
+                    tracing::warn!(event = "attempts_unreadable", %host, error = %e);
+                    Offer::MayHaveRun(Outcome::Broken)
+                }
+            }
         }
         Ok(ResponseBody::Partial(start, rest)) => {
             let left = fwd.deadline.since(cx.now());
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -7,8 +7,7 @@
 
 use bytes::Bytes;
 use foxtail_net::http::Body;
-use foxtail_steer::notice::NoticeReport;
-use foxtail_steer::relay::RelayedRequest;
+use foxtail_steer::relay::{HandedBack, RelayedRequest};
 use foxtail_steer::steering::{Outcome, Placement, Request as PlacementRequest};
 use foxtail_steer::suspects::Fingerprints;
 use foxtail_steer::{Config, Route};
@@ -22,13 +21,12 @@
 };
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use parking_lot::Mutex;
 
 use crate::attempt::{AttemptOutcome, ForwardedRequest, attempt};
 use crate::context::HostContext;
 use crate::past_attempts::{PastAttempts, SHED_RETRY_AFTER};
 use crate::refusal::Refusal;
-use crate::relay::{self, RelayOutcome};
+use crate::relay::{self, RelayFeedback, RelayOutcome};
 use crate::request_log::RequestLog;
 
 /// The timeout of a request whose caller sends none.
@@ -63,8 +61,8 @@
     fingerprints: Fingerprints,
     /// What another host has done with the request, if that host relayed it.
     relayed: Option<&'a RelayedRequest>,
-    /// What the upstreams that answered said of themselves.
-    notices: &'a Mutex<Vec<NoticeReport>>,
+    /// What a host that relayed the request has to know.
+    feedback: &'a RelayFeedback,
 }
 
 /// Where a request came from, and the service that it is for.
@@ -84,19 +82,18 @@
     let arrived = cx.now();
     let (mut head, body) = req.into_parts();
     let relayed = relay::take_relayed(&cx, &mut head.headers, from);
-    let notices = Mutex::default();
+    let feedback = RelayFeedback::default();
     let mut response = match &relayed {
         Some(relayed) => {
             let caller = (relayed.caller, Some(relayed));
             cx.reachability.lock().record_relayed(arrived);
             cx.check_reachability(arrived);
-            let served = serve(&cx, (head, body), caller, &notices, arrived).await;
-            let notices = if relayed.wants_notices { notices.into_inner() } else { Vec::new() };
-            relay::mark_response(&cx, served, &notices)
+            let served = serve(&cx, (head, body), caller, &feedback, arrived).await;
+            relay::mark_response(&cx, served, relayed, feedback)
         }
         None => {
             cx.requests.fetch_add(1, Ordering::Relaxed);
-            let served = serve(&cx, (head, body), (from, None), &notices, arrived).await;
+            let served = serve(&cx, (head, body), (from, None), &feedback, arrived).await;
             let mut response = served.unwrap_or_else(|refusal| refusal.response());
             relay::strip_mark(&mut response);
             response
@@ -112,7 +109,7 @@
     cx: &Arc<HostContext>,
     (mut head, body): (Parts, Incoming),
     (caller, relayed): (IpAddr, Option<&RelayedRequest>),
-    notices: &Mutex<Vec<NoticeReport>>,
+    feedback: &RelayFeedback,
     arrived: Millis,
 ) -> Result<Response<Body>, Refusal> {
     let info = cx.protocol.parse_request(&head.headers).map_err(|why| {
@@ -152,7 +149,7 @@
         request_log.record_refusal(cx, "-", &refusal, None);
         return Err(refusal);
     }
-    let incoming = IncomingRequest { head: &head, body, caller, fingerprints, relayed, notices };
+    let incoming = IncomingRequest { head: &head, body, caller, fingerprints, relayed, feedback };
     let result = forward(cx, &mut request_log, route, incoming, deadline).await;
     drop(buffered);
     result
@@ -223,7 +220,7 @@
     incoming: IncomingRequest<'_>,
     deadline: Millis,
 ) -> Result<Response<Body>, Refusal> {
-    let IncomingRequest { head, body, caller, fingerprints, relayed, notices } = incoming;
+    let IncomingRequest { head, body, caller, fingerprints, relayed, feedback } = incoming;
     let mut attempts = relayed.map(PastAttempts::of_relayed).unwrap_or_default();
     let fwd = ForwardedRequest {
         id: &request_log.info.id,
@@ -234,7 +231,8 @@
         headers: &head.headers,
         body,
         deadline,
-        notices,
+        relay_patience: relayed.and_then(RelayedRequest::patience),
+        feedback,
     };
     let hosts = cx.fleet.lock().hosts_sharing_budgets();
     let Some(service) = select_service(cx, route, relayed, hosts) else {
@@ -331,6 +329,16 @@
                     break attempts.final_refusal(Reason::CrashedUpstreams, SHED_RETRY_AFTER);
                 }
             }
+            AttemptOutcome::GivenUp => {
+                attempts.record(Outcome::Cancelled, true);
+                if route.idempotent
+                    && let Some(served) =
+                        serve_elsewhere(cx, request_log, &fwd, &mut attempts, &origin).await
+                {
+                    return served;
+                }
+                break attempts.final_refusal(Reason::AnswerLost, SHED_RETRY_AFTER);
+            }
         }
         if !attempts.may_retry(route) {
             let retry_after = cx.retry_after_refusals(&service, route, SHED_RETRY_AFTER);
@@ -378,24 +386,35 @@
     origin: &Origin<'_>,
 ) -> Option<Result<Response<Body>, Refusal>> {
     if let Some(relayed) = origin.relayed {
-        // An upstream that got the request here counts as an attempt, of which the first host would
-        // not know.
+        let mut refusal = Refusal::not_run(Reason::UpstreamsLost, NO_UPSTREAM_RETRY_AFTER);
         if attempts.reached.len() > relayed.attempted.len() {
-            return None;
+            // The first host has to know of the upstreams that got the request here.
+            if !fwd.route.idempotent || !relayed.takes_back {
+                return None;
+            }
+            if attempts.may_have_run {
+                refusal = Refusal::may_have_run(StatusCode::BAD_GATEWAY, Reason::UpstreamsLost);
+            }
+            *fwd.feedback.handed_back.lock() = Some(HandedBack {
+                attempted: attempts.reached.clone(),
+                may_have_run: attempts.may_have_run,
+            });
         }
-        let refusal = attempts.final_refusal(Reason::UpstreamsLost, NO_UPSTREAM_RETRY_AFTER);
         request_log.record_refusal(cx, origin.service.as_str(), &refusal, None);
         return Some(Err(refusal));
     }
-    let relayed = RelayedRequest {
+    let mut relayed = RelayedRequest {
         caller: origin.caller,
         time_left: Millis::ZERO,
         service: origin.service.clone(),
         attempted: attempts.reached.clone(),
         may_have_run: attempts.may_have_run,
         wants_notices: true,
+        takes_back: true,
     };
-    match relay::relay(cx, fwd, relayed).await {
+    let outcome = relay::relay(cx, fwd, &mut relayed).await;
+    attempts.record_handed_back(relayed);
+    match outcome {
         RelayOutcome::Response(response) => {
             request_log.record_relayed(cx, origin.service, response.status());
             Some(Ok(strip_response(response)))
--- a/foxtail-steer/src/reachability.rs
+++ b/foxtail-steer/src/reachability.rs
@@ -46,6 +46,14 @@
 /// Longest time between two rounds of probes that count together.
 const MAX_ROUND_GAP: Millis = Millis(2_000);
 
+/// Time without an answer from any upstream after which a request that may be repeated is given up by a
+/// host that lost its upstreams. A shorter one would give up requests whose open connections work.
+const REPEATABLE_PATIENCE: Millis = Millis(500);
+
+/// How long a host has to have lost its upstreams before it ends a request that must not be repeated:
+/// two more rounds of probes went unanswered.
+const CONFIRMED_LOSS: Millis = Millis(1_000);
+
 /// Number of waiting requests from which [`SILENCE`] is suspicious. Fewer may just be slow, and are
 /// suspicious after twice the time.
 const MIN_WAITING_REQUESTS: u32 = 3;
@@ -89,6 +97,27 @@
     Failed,
 }
 
+/// A request that waits for an upstream's answer.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitingRequest {
+    /// When it was sent to the upstream.
+    pub sent_at: Millis,
+    /// Whether it may be repeated.
+    pub idempotent: bool,
+    /// Time without an answer from any upstream after which the host that relayed it can do better, if it
+    /// was relayed.
+    pub relay_patience: Option<Millis>,
+}
+
+/// Whether a request waits on for an upstream's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    /// It does. The decision may change after this time, and when the host loses its upstreams.
+    Continue(Option<Millis>),
+    /// It does not: the host's links are silent.
+    GiveUp,
+}
+
 /// The host lost its upstreams or reaches them again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -112,6 +141,25 @@
         self.is_lost() || self.failed_upstreams(now) >= MIN_FAILED_UPSTREAMS || self.is_silent(now)
     }
 
+    /// Returns whether `req` waits on for its answer. As long as upstreams answer anything, it does.
+    ///
+    /// The load that this answers: requests under way on links that became silent. Those that may be
+    /// repeated are served by another host, the sooner the more of their time is left. Those that must
+    /// not are ended once the loss is certain, since no answer will come.
+    pub fn wait(&self, req: &WaitingRequest, now: Millis) -> Wait {
+        let quiet_since = self.answered_at.map_or(req.sent_at, |at| at.max(req.sent_at));
+        let lost = self.lost_since.map(|lost_since| match req.idempotent {
+            true => quiet_since + REPEATABLE_PATIENCE,
+            false => (quiet_since + SILENCE).max(lost_since + CONFIRMED_LOSS),
+        });
+        let relayed =
+            req.relay_patience.filter(|_| req.idempotent).map(|patience| quiet_since + patience);
+        match lost.into_iter().chain(relayed).min() {
+            Some(end) if end <= now => Wait::GiveUp,
+            end => Wait::Continue(end.map(|end| end.since(now))),
+        }
+    }
+
     /// Returns the number of upstreams with recently failed connections.
     pub fn failed_upstreams(&self, now: Millis) -> usize {
         let is_recent = |at: &&Millis| now.since(**at) <= FAILURE_LIFETIME;
--- a/foxtail-steer/src/relay.rs
+++ b/foxtail-steer/src/relay.rs
@@ -15,6 +15,11 @@
 /// knowing it yet: of hosts of which a third has, one in 243 requests meets only such ones.
 pub const MAX_RELAY_OFFERS: usize = 5;
 
+/// The share of a relayed request's time after which the second host gives up a request that may be
+/// repeated, if no upstream answers it anything: a quarter, so that two such hosts in turn leave more
+/// than half of the time for a third one.
+const RELAY_PATIENCE_DIVISOR: u64 = 4;
+
 /// What the host that a request is relayed to has to know of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedRequest {
@@ -33,6 +38,33 @@
     /// do not.
     #[serde(default)]
     pub wants_notices: bool,
+    /// Whether the first host takes back requests that upstreams may have got, with a [`HandedBack`];
+    /// those of earlier versions do not.
+    #[serde(default)]
+    pub takes_back: bool,
+}
+
+/// What a host did with a relayed request that it handed back to the first host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedBack {
+    /// The upstreams that got the request, including those that had got it before.
+    pub attempted: Vec<UpstreamId>,
+    /// Whether one of them may have run it.
+    pub may_have_run: bool,
+}
+
+impl RelayedRequest {
+    /// Returns for how long the second host waits without an answer from any upstream, if the first one
+    /// takes the request back then.
+    pub fn patience(&self) -> Option<Millis> {
+        self.takes_back.then(|| Millis(self.time_left.0 / RELAY_PATIENCE_DIVISOR))
+    }
+
+    /// Records what a host did that handed the request back.
+    pub fn record_handed_back(&mut self, handed_back: HandedBack) {
+        self.attempted = handed_back.attempted;
+        self.may_have_run |= handed_back.may_have_run;
+    }
 }
 
 impl Fleet {
