fix(entry): hosts that start know the fleet and whether links are silent before they serve

Change: a host that is not registered within 0.2 s reads the other registrations all the same, and once more when it is. It serves once it has heard of a host that is not leaving, or after 1.5 s. If others of its region lost their upstreams, it takes its own for lost until one answers, and relays from its first request on. Replies to starting hosts cover all regions.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Lifecycle {
     operators_read: AtomicBool,
     upstreams_read: AtomicBool,
+    /// The host knows the fleet, or has listened long enough.
+    joined: AtomicBool,
     /// The host was told to stop; responses carry `Connection: close`.
     pub(crate) leaving: AtomicBool,
     /// Cancelled to close idle HTTP connections and to accept no new ones for callers' requests.
@@ -118,7 +120,7 @@
 
     /// Whether the host serves callers.
     pub(crate) fn is_serving(&self) -> bool {
-        self.lifecycle.has_read_store() && !self.lifecycle.is_leaving()
+        self.lifecycle.is_complete() && !self.lifecycle.is_leaving()
     }
 }
 
@@ -126,19 +128,30 @@
     /// Records that the operators' area was read. Returns whether the host thereby became able to
     /// serve.
     pub(crate) fn mark_operators_read(&self) -> bool {
-        !self.operators_read.swap(true, Ordering::Relaxed) && self.has_read_store()
+        !self.operators_read.swap(true, Ordering::Relaxed) && self.is_complete()
     }
 
     /// Records that the upstreams were read. Returns whether the host thereby became able to serve.
     pub(crate) fn mark_upstreams_read(&self) -> bool {
-        !self.upstreams_read.swap(true, Ordering::Relaxed) && self.has_read_store()
+        !self.upstreams_read.swap(true, Ordering::Relaxed) && self.is_complete()
+    }
+
+    /// Records that the host knows the fleet. Returns whether it thereby became able to serve.
+    pub(crate) fn mark_joined(&self) -> bool {
+        !self.joined.swap(true, Ordering::Relaxed) && self.is_complete()
+    }
+
+    pub(crate) fn has_joined(&self) -> bool {
+        self.joined.load(Ordering::Relaxed)
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
 
-    fn has_read_store(&self) -> bool {
-        self.operators_read.load(Ordering::Relaxed) && self.upstreams_read.load(Ordering::Relaxed)
+    fn is_complete(&self) -> bool {
+        [&self.operators_read, &self.upstreams_read, &self.joined]
+            .into_iter()
+            .all(|part| part.load(Ordering::Relaxed))
     }
 }
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -32,6 +32,13 @@
 /// The pause before the host retries registering or reading the other hosts' registrations.
 const REGISTER_RETRY_PAUSE: Millis = Millis(700);
 
+/// How long a starting host waits for its own registration before it reads those of others all the same.
+const REGISTER_PATIENCE: Millis = Millis(200);
+
+/// How long after its start a host waits to hear of the fleet before it serves. It spans a retry of a
+/// call to the store, and of digests that were lost.
+const MAX_JOIN_TIME: Millis = Millis(1_500);
+
 /// The number of strikes against a request at which other hosts are informed at once. A single
 /// strike is most often the fault of an upstream or a link, and goes out with the periodic digests.
 pub(crate) const IMMEDIATE_SHARE_STRIKES: usize = MAX_STRIKES - 1;
@@ -84,13 +91,25 @@
         for (host, phase) in fleet.receive(digest, now) {
             tracing::info!(event = "host", %host, ?phase, heard_from = %digest.from.id);
         }
-        digest.reply.then(|| fleet.digest(now, false))
+        digest.reply.then(|| fleet.reply(now))
     };
+    check_joined(cx, false, now);
     if let Some(reply) = reply {
         send_digest(cx, socket, reply, [digest.from.peer]).await;
     }
 }
 
+/// Lets a starting host serve once it knows the fleet, or has `listened_enough`.
+fn check_joined(cx: &HostContext, listened_enough: bool, now: Millis) {
+    if cx.lifecycle.has_joined() || !(listened_enough || cx.fleet.lock().has_joined(now)) {
+        return;
+    }
+    cx.presume_upstreams_lost(now);
+    if cx.lifecycle.mark_joined() {
+        cx.mark_ready();
+    }
+}
+
 /// Merges the strikes of `digest` and the answers that cleared some, and informs other hosts of new ones
 /// that reach [`IMMEDIATE_SHARE_STRIKES`].
 fn merge_strikes(cx: &HostContext, digest: &Digest, now: Millis) {
@@ -118,6 +137,7 @@
     let mut last_requests = cx.requests.load(Ordering::Relaxed);
     let mut last_tick = cx.now();
     let mut last_cleanup = last_tick;
+    let started = last_tick;
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
@@ -159,6 +179,7 @@
         };
         cx.update_limit_senders(now);
         cx.check_reachability(now);
+        check_joined(&cx, now.since(started) >= MAX_JOIN_TIME, now);
         for (digest, to) in own_region.into_iter().chain(other_regions) {
             send_digest(&cx, &socket, digest, [to]).await;
         }
@@ -253,34 +274,42 @@
 /// Registers the host, reads the other hosts' registrations and announces itself to them.
 pub(crate) async fn join(cx: Arc<HostContext>, socket: Arc<UdpSocket>) {
     let joining = async {
-        register(&cx).await;
-        loop {
-            match cx.store.read(Area::Hosts).await {
-                Ok(facts) => {
-                    let mut fleet = cx.fleet.lock();
-                    for fact in facts.facts {
-                        if let crate::ports::Fact::Host(record) = fact {
-                            fleet.add_host(record, cx.now());
-                        }
+        let mut registering = std::pin::pin!(register(&cx));
+        let patience = REGISTER_PATIENCE.duration();
+        if tokio::time::timeout(patience, registering.as_mut()).await.is_err() {
+            tokio::join!(registering, announce(&cx, &socket));
+        }
+        // Of two hosts that start at once, at least one reads the registration of the other.
+        announce(&cx, &socket).await;
+    };
+    cx.lifecycle.ended.clone().run_until_cancelled(joining).await;
+}
+
+/// Reads the other hosts' registrations, and asks these hosts for their digests.
+async fn announce(cx: &HostContext, socket: &UdpSocket) {
+    loop {
+        match cx.store.read(Area::Hosts).await {
+            Ok(facts) => {
+                let mut fleet = cx.fleet.lock();
+                for fact in facts.facts {
+                    if let crate::ports::Fact::Host(record) = fact {
+                        fleet.add_host(record, cx.now());
                     }
-                    fleet.mark_registrations_read();
-                    break;
-                }
-                Err(e) => {
-                    tracing::warn!(event = "hosts_not_read", error = %e);
-                    tokio::time::sleep(REGISTER_RETRY_PAUSE.duration()).await;
                 }
+                fleet.mark_registrations_read();
+                break;
+            }
+            Err(e) => {
+                tracing::warn!(event = "hosts_not_read", error = %e);
+                tokio::time::sleep(REGISTER_RETRY_PAUSE.duration()).await;
             }
         }
-        let known = cx.fleet.lock().host_count();
-        tracing::info!(event = "registered", hosts = known);
-        let digest = cx.fleet.lock().digest(cx.now(), true);
-        send_to_all(&cx, &socket, digest).await;
-    };
-    tokio::select! {
-        () = joining => {}
-        () = cx.lifecycle.ended.cancelled() => {}
     }
+    let known = cx.fleet.lock().host_count();
+    tracing::info!(event = "hosts_read", hosts = known);
+    check_joined(cx, false, cx.now());
+    let digest = cx.fleet.lock().digest(cx.now(), true);
+    send_to_all(cx, socket, digest).await;
 }
 
 /// Sets the host's phase and announces it to all other hosts.
--- a/foxtail-entry/src/probe.rs
+++ b/foxtail-entry/src/probe.rs
@@ -161,6 +161,18 @@
         }
     }
 
+    /// Counts the upstreams as lost if this host has just started and others of its region lost theirs,
+    /// until an upstream answers.
+    pub(crate) fn presume_upstreams_lost(&self, now: Millis) {
+        if self.fleet.lock().others_lost_upstreams(now)
+            && self.reachability.lock().presume_lost(now)
+        {
+            tracing::warn!(event = "upstreams_lost", presumed = true);
+            self.set_upstreams_lost(true);
+        }
+        self.check_reachability(now);
+    }
+
     /// Tells other hosts whether this host lost its upstreams.
     fn set_upstreams_lost(&self, lost: bool) {
         self.fleet.lock().set_upstreams_lost(lost);
--- a/foxtail-entry/src/relay.rs
+++ b/foxtail-entry/src/relay.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use foxtail_net::http::{Body, full_body};
+use foxtail_steer::Route;
 use foxtail_steer::notice::NoticeReport;
 use foxtail_steer::relay::{HandedBack, MAX_RELAY_OFFERS, RelayedRequest};
 use foxtail_steer::rendezvous;
@@ -87,7 +88,10 @@
 enum Offer {
     Done(Disposition, Response<Body>),
     /// The host handed the request back.
-    HandedBack { disposition: Disposition, by: HandedBack },
+    HandedBack {
+        disposition: Disposition,
+        by: HandedBack,
+    },
     /// The host did not get the request.
     NotSent(std::io::Error),
     MayHaveRun(Outcome),
@@ -136,8 +140,7 @@
     });
     let mut response = response.unwrap_or_else(|refusal| refusal.response());
     strip_mark(&mut response);
-    let notices =
-        if relayed.wants_notices { feedback.notices.into_inner() } else { Vec::new() };
+    let notices = if relayed.wants_notices { feedback.notices.into_inner() } else { Vec::new() };
     response.headers_mut().insert(RELAY, response_value(disposition, &notices));
     if let Some(handed_back) = feedback.handed_back.into_inner() {
         let value = serde_json::to_vec(&handed_back).map_err(anyhow::Error::from);
@@ -197,13 +200,11 @@
         if now >= fwd.deadline {
             break;
         }
-        let target = {
-            let fleet = cx.fleet.lock();
-            fleet
-                .relay_target(fwd.route, key, &tried, now)
-                .map(|host| (host.id.clone(), host.caller))
-        };
-        let Some((host, addr)) = target else { break };
+        let Some((host, addr)) = select_host(cx, fwd.route, key, &tried) else { break };
+        let mut tried_then = tried.clone();
+        tried_then.push(host.clone());
+        relayed.takes_back = tried_then.len() < MAX_RELAY_OFFERS
+            && select_host(cx, fwd.route, key, &tried_then).is_some();
         let offer = offer(cx, fwd, relayed, &host, addr).await;
         let outcome = match &offer {
             Offer::Done(disposition, _) => disposition.as_str(),
@@ -249,6 +250,18 @@
     RelayOutcome::NotTaken { retry_after }
 }
 
+/// Selects the next host to offer a request of `route` to.
+fn select_host(
+    cx: &HostContext,
+    route: &Route,
+    key: u64,
+    tried: &[HostId],
+) -> Option<(HostId, SocketAddr)> {
+    let fleet = cx.fleet.lock();
+    let host = fleet.relay_target(route, key, tried, cx.now())?;
+    Some((host.id.clone(), host.caller))
+}
+
 /// Returns when the host that refused a request takes it, if it says so.
 fn retry_after_of(response: &Response<Body>) -> Option<Millis> {
     let secs: f64 = response.headers().get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -410,7 +410,7 @@
         attempted: attempts.reached.clone(),
         may_have_run: attempts.may_have_run,
         wants_notices: true,
-        takes_back: true,
+        takes_back: false,
     };
     let outcome = relay::relay(cx, fwd, &mut relayed).await;
     attempts.record_handed_back(relayed);
--- a/foxtail-entry/tests/common/cut_site.rs
+++ b/foxtail-entry/tests/common/cut_site.rs
@@ -19,7 +19,7 @@
     pub ups: Vec<UpstreamServer>,
     pub dials: Vec<CutDial>,
     pub hosts: Vec<Host>,
-    _endpoint: StoreEndpoint,
+    pub endpoint: StoreEndpoint,
 }
 
 impl CutSite {
@@ -47,7 +47,7 @@
             })
             .await;
         }
-        let this = Self { site, ups, dials, hosts, _endpoint: endpoint };
+        let this = Self { site, ups, dials, hosts, endpoint };
         // Leaves open connections to upstreams behind.
         for host in 0..this.hosts.len() {
             for n in 0..8 {
--- a/foxtail-entry/tests/silent_links.rs
+++ b/foxtail-entry/tests/silent_links.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use common::cut_site::CutSite;
-use common::{Cut, exchange, request};
+use common::{Cut, CutDial, exchange, ready, request, until};
+use foxtail_entry::Host;
 use foxtail_standin::caller::Answer;
+use foxtail_standin::store::RateLimits;
+use foxtail_standin::upstream::UpstreamServer;
 use tokio::time::Instant;
 
 /// The deadlines of requests, in milliseconds.
@@ -28,6 +31,27 @@
     site
 }
 
+/// Starts one more host in zone a1 that is cut off from all upstreams, and waits until it is ready.
+async fn start_cut_off(site: &CutSite, cut: Cut) -> Host {
+    let dial = CutDial::new(site.ups.iter().map(UpstreamServer::addr));
+    dial.set(Some(cut));
+    let host = site.site.host_with_dial("h-late", "a1", &site.endpoint, dial.arc()).await;
+    until("the host is ready", async || ready(&host).await).await;
+    host
+}
+
+/// Sends 20 requests to `host`, every other of which must not be repeated, and returns how many were
+/// answered.
+async fn served_by(host: &Host, deadline_ms: u64) -> usize {
+    let mut served = 0;
+    for n in 0..20 {
+        let (method, path) = [("GET", "/read/1"), ("POST", "/write/1")][n % 2];
+        let text = request(method, path, &format!("late-{n}"), deadline_ms, "");
+        served += usize::from(exchange(host.settings().caller, &text).await.status == 200);
+    }
+    served
+}
+
 async fn send(site: &CutSite, method: &str, id: &str, deadline_ms: u64) -> (Answer, Duration) {
     let path = if method == "GET" { "/read/1" } else { "/write/1" };
     let sent_at = Instant::now();
@@ -81,3 +105,28 @@
     }
     site.stop().await;
 }
+
+#[tokio::test]
+async fn a_host_that_starts_learns_that_links_are_silent_before_it_takes_requests() {
+    let site = site_with_silent_links(&["a1", "a2", "b1"], &[]).await;
+    let host = start_cut_off(&site, Cut::Silent).await;
+    assert_eq!(served_by(&host, 1_000).await, 20, "served by other hosts, of 20");
+    host.stop().await;
+    site.stop().await;
+}
+
+#[tokio::test]
+async fn a_host_that_starts_knows_hosts_of_other_regions_before_it_takes_requests() {
+    let mut site = CutSite::start(&["a1", "b1"]).await;
+    let stopping = tokio::spawn(site.hosts.remove(0).stop());
+    // The store turns writes away for a second.
+    site.endpoint.set_rate_limits(RateLimits { writes_per_s: 0, reads_per_s: 1_000 });
+    let dial = CutDial::new(site.ups.iter().map(UpstreamServer::addr));
+    dial.set(Some(Cut::Reset));
+    let host = site.site.host_with_dial("h-late", "a1", &site.endpoint, dial.arc()).await;
+    until("the host is ready", async || ready(&host).await).await;
+    assert_eq!(served_by(&host, 1_000).await, 20, "served by a host of another region, of 20");
+    stopping.await.expect("the host stops");
+    host.stop().await;
+    site.stop().await;
+}
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -439,6 +439,12 @@
         self.build_digest(now, reply, all_regions)
     }
 
+    /// Returns a digest for a host that asked for one. It covers all regions: a starting host may need
+    /// hosts of other ones at once.
+    pub fn reply(&mut self, now: Millis) -> Digest {
+        self.build_digest(now, false, true)
+    }
+
     /// Returns a digest that covers only the hosts of this region, for a host of another region.
     pub fn regional_digest(&mut self, now: Millis) -> Digest {
         self.build_digest(now, false, false)
@@ -558,6 +564,16 @@
         self.registrations_read = true;
     }
 
+    /// Returns whether this host has heard of the fleet since its start: the registrations were read, and
+    /// a host that may relay requests is alive unless no other one is registered.
+    pub fn has_joined(&self, now: Millis) -> bool {
+        let own_region = &self.own_record().region;
+        let others = || self.peers.values().filter(|peer| peer.record.id != self.own_id);
+        let can_relay =
+            |peer: &Peer| peer.phase != Phase::Leaving && is_alive(peer, own_region, now);
+        self.registrations_read && (others().next().is_none() || others().any(can_relay))
+    }
+
     /// Returns whether this host is in contact with its region: it knows the region's hosts, hears
     /// more than half of them, and another host has recently heard it. Of the parts of a region that is
     /// split, at most one is in contact.
--- a/foxtail-steer/src/reachability.rs
+++ b/foxtail-steer/src/reachability.rs
@@ -223,6 +223,16 @@
         self.relayed_at = Some(now);
     }
 
+    /// Records that other hosts of the region lost their upstreams before this one has had an answer: it
+    /// counts as having lost them too, until an upstream answers. Returns whether that is new.
+    pub fn presume_lost(&mut self, now: Millis) -> bool {
+        let presumes = self.answered_at.is_none() && !self.is_lost();
+        if presumes {
+            self.lost_since = Some(now);
+        }
+        presumes
+    }
+
     /// Begins a round of probes if one is due, and returns its number.
     pub fn begin_probes(&mut self, reasons: ProbeReasons, now: Millis) -> Option<u64> {
         let is_due = self.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
--- a/foxtail-steer/src/relay.rs
+++ b/foxtail-steer/src/relay.rs
@@ -38,8 +38,8 @@
     /// do not.
     #[serde(default)]
     pub wants_notices: bool,
-    /// Whether the first host takes back requests that upstreams may have got, with a [`HandedBack`];
-    /// those of earlier versions do not.
+    /// Whether the first host takes the request back although upstreams may have got it, with a
+    /// [`HandedBack`]: it knows another host to offer it to. Hosts of earlier versions do not.
     #[serde(default)]
     pub takes_back: bool,
 }
