feat(entry): count control messages and bytes by kind and distance

Counters control_messages_total and control_bytes_total, and a log line control_traffic every 10 s and at the stop. Distances are the own zone, the own region and other regions; bytes are those of messages, without headers of the network.

--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -3,11 +3,10 @@
 //! upstreams leave, and which hosts lost their upstreams.
 //! Also registers the host in the store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Phase};
+use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Distance, Phase, Target};
 use foxtail_steer::named_limit::LimitReport;
 use foxtail_steer::pull_queue::{SOURCE_NOTICE_HOSTS, Step};
 use foxtail_steer::suspects::MAX_STRIKES;
@@ -16,6 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::HostContext;
+use crate::control_traffic::{LOG_INTERVAL, MessageKind};
 use crate::message::Message;
 use crate::ports::{Area, StoreVersion};
 use crate::pull;
@@ -95,7 +95,10 @@
     };
     check_joined(cx, false, now);
     if let Some(reply) = reply {
-        send_digest(cx, socket, reply, [digest.from.peer]).await;
+        let distance = cx.fleet.lock().distance_to_address(digest.from.peer.ip());
+        let distance = distance.unwrap_or(Distance::OtherRegion);
+        let to = Target { addr: digest.from.peer, distance };
+        send_digest(cx, socket, MessageKind::Reply, reply, [to]).await;
     }
 }
 
@@ -137,6 +140,7 @@
     let mut last_requests = cx.requests.load(Ordering::Relaxed);
     let mut last_tick = cx.now();
     let mut last_cleanup = last_tick;
+    let mut last_log = last_tick;
     let started = last_tick;
     loop {
         tokio::select! {
@@ -154,6 +158,10 @@
         cx.remove_lapsed_upstreams();
         renew_registration(&cx);
         let now = cx.now();
+        if now.since(last_log) >= LOG_INTERVAL {
+            last_log = now;
+            cx.metrics.control_traffic.log();
+        }
         if now.since(last_cleanup) >= CLEANUP_INTERVAL {
             last_cleanup = now;
             remove_gone_hosts(&cx, now);
@@ -181,7 +189,7 @@
         cx.check_reachability(now);
         check_joined(&cx, now.since(started) >= MAX_JOIN_TIME, now);
         for (digest, to) in own_region.into_iter().chain(other_regions) {
-            send_digest(&cx, &socket, digest, [to]).await;
+            send_digest(&cx, &socket, MessageKind::Digest, digest, [to]).await;
         }
     }
 }
@@ -214,7 +222,7 @@
         (fleet.own_digest(now), fleet.digest_targets().0)
     };
     let limits = cx.steering.lock().changed_limits_to_share(now);
-    send_message(cx, socket, digest, limits, own_region).await;
+    send_message(cx, socket, MessageKind::Notice, digest, limits, own_region).await;
 }
 
 /// Sends a short digest to a few random hosts of this host's region, because they can pull a large
@@ -227,13 +235,14 @@
     };
     let (targets, _) = own_region.partial_shuffle(&mut rand::rng(), SOURCE_NOTICE_HOSTS);
     let targets = targets.to_vec();
-    send_digest(cx, socket, digest, targets).await;
+    send_digest(cx, socket, MessageKind::Notice, digest, targets).await;
 }
 
 /// Sends `digest` to all other hosts.
 async fn send_to_all(cx: &HostContext, socket: &UdpSocket, digest: Digest) {
     let (own_region, other_regions) = cx.fleet.lock().digest_targets();
-    send_digest(cx, socket, digest, own_region.into_iter().chain(other_regions)).await;
+    let targets = own_region.into_iter().chain(other_regions);
+    send_digest(cx, socket, MessageKind::Phase, digest, targets).await;
 }
 
 /// Registers the host in the store, and tries again until it has succeeded.
@@ -326,11 +335,12 @@
 async fn send_digest(
     cx: &HostContext,
     socket: &UdpSocket,
+    kind: MessageKind,
     digest: Digest,
-    targets: impl IntoIterator<Item = SocketAddr>,
+    targets: impl IntoIterator<Item = Target>,
 ) {
     let limits = cx.steering.lock().limits_to_share(cx.now());
-    send_message(cx, socket, digest, limits, targets).await;
+    send_message(cx, socket, kind, digest, limits, targets).await;
 }
 
 /// Adds strikes and the answers that cleared some to `digest`, and sends it with `limits` and the next
@@ -338,9 +348,10 @@
 async fn send_message(
     cx: &HostContext,
     socket: &UdpSocket,
+    kind: MessageKind,
     mut digest: Digest,
     limits: Vec<LimitReport>,
-    targets: impl IntoIterator<Item = SocketAddr>,
+    targets: impl IntoIterator<Item = Target>,
 ) {
     {
         let (mut suspects, now) = (cx.suspects.lock(), cx.now());
@@ -355,9 +366,10 @@
             return;
         }
     };
-    for to in targets {
-        if let Err(e) = socket.send_to(&bytes, to).await {
-            tracing::debug!(event = "digest_not_sent", %to, error = %e);
+    for Target { addr, distance } in targets {
+        match socket.send_to(&bytes, addr).await {
+            Ok(len) => cx.metrics.control_traffic.record(kind, distance, 1, len as u64),
+            Err(e) => tracing::debug!(event = "digest_not_sent", to = %addr, error = %e),
         }
     }
 }
--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod context;
+mod control_traffic;
 mod follow;
 mod gossip;
 mod knowledge;
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -6,6 +6,8 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
+use crate::control_traffic::ControlTraffic;
+
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0];
@@ -33,6 +35,7 @@
     upstreams_lost: Gauge<u64>,
     probes: Counter<u64>,
     relays: Counter<u64>,
+    pub(crate) control_traffic: ControlTraffic,
 }
 
 impl Metrics {
@@ -85,6 +88,7 @@
                 .u64_counter("relays_total")
                 .with_description("requests relayed to other hosts, and from them")
                 .build(),
+            control_traffic: ControlTraffic::new(&meter),
             reader,
             provider,
         }
--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -178,6 +178,7 @@
         if tokio::time::timeout(CLOSE_POOL_TIMEOUT, closing).await.is_err() {
             tracing::info!(event = "outgoing_connections_left");
         }
+        cx.metrics.control_traffic.log();
         cx.metrics.shutdown();
         tracing::info!(event = "stopped", cut_off, took_ms = cx.now().since(stop_started).0);
     }
--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -13,6 +13,7 @@
 use tokio_util::io::InspectWriter;
 
 use crate::context::HostContext;
+use crate::control_traffic::MessageKind;
 use crate::ports::{Area, Facts};
 use crate::progress::{byte_counter, until_stalled};
 use crate::serve::{ListenerKind, accept};
@@ -99,6 +100,10 @@
     cx.pull_conns.fetch_sub(1, Ordering::Relaxed);
     let (bytes, took) = (sent.load(Ordering::Relaxed), cx.now().since(started));
     cx.metrics.record_pull("served", bytes, took);
+    let distance = cx.fleet.lock().distance_to_address(from);
+    if let Some(distance) = distance {
+        cx.metrics.control_traffic.record(MessageKind::Pull, distance, 1, bytes);
+    }
     let stalled = matches!(served, Some(None));
     if stalled || bytes >= LOGGED_TRANSFER_BYTES {
         tracing::info!(event = "pull_served", %from, bytes, took_ms = took.0, at_once, stalled);
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -121,6 +121,26 @@
     Lost,
 }
 
+/// How far another host is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same zone.
+    Zone,
+    /// In another zone of the same region.
+    Region,
+    /// In another region.
+    OtherRegion,
+}
+
+/// Another host to which messages are sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Its address for other hosts.
+    pub addr: SocketAddr,
+    /// How far it is away.
+    pub distance: Distance,
+}
+
 /// The newest versions of the store's areas that a host knows.
 #[id]
 #[derive(Default)]
@@ -494,14 +514,29 @@
         }
     }
 
-    /// Returns the addresses of all other hosts: those of this region, and those of other regions.
-    pub fn digest_targets(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let region = &self.own_record().region;
+    /// Returns all other hosts: those of this region, and those of other regions.
+    pub fn digest_targets(&self) -> (Vec<Target>, Vec<Target>) {
         let others = self.peers.values().filter(|peer| peer.record.id != self.own_id);
-        let (local, remote): (Vec<_>, Vec<_>) =
-            others.partition(|peer| peer.record.region == *region);
-        let addrs = |peers: Vec<&Peer>| peers.iter().map(|peer| peer.record.peer).collect();
-        (addrs(local), addrs(remote))
+        let targets = others.map(|peer| Target {
+            addr: peer.record.peer,
+            distance: self.distance_to(&peer.record),
+        });
+        targets.partition(|target| target.distance != Distance::OtherRegion)
+    }
+
+    /// Returns the host at the address `ip` and how far it is away.
+    pub fn distance_to_address(&self, ip: IpAddr) -> Option<Distance> {
+        let peer = self.peers.values().find(|peer| peer.record.peer.ip() == ip)?;
+        Some(self.distance_to(&peer.record))
+    }
+
+    fn distance_to(&self, record: &HostRecord) -> Distance {
+        let own = self.own_record();
+        match record.region == own.region {
+            true if record.zone == own.zone => Distance::Zone,
+            true => Distance::Region,
+            false => Distance::OtherRegion,
+        }
     }
 
     /// Returns whether store changes that the host at `from` announced should be relayed to this
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -354,7 +354,9 @@
     while let Some((host, from)) = announcements.pop() {
         if fleets[host].should_relay(from) {
             let local_targets = fleets[host].digest_targets().0;
-            for other in (1..45).filter(|other| local_targets.contains(&addr(*other))) {
+            for other in (1..45)
+                .filter(|other| local_targets.iter().any(|target| target.addr == addr(*other)))
+            {
                 if informed.insert(other) {
                     announcements.push((other, addr(host)));
                 }
