perf(steer): starting hosts ask six hosts for digests in place of all

Cause: a starting host sent its digest to each other host, and each answered with its own, which covers the fleet: N x N digests between regions when all start, and N for each restart.

Change: it asks four hosts of its region, those of its zone first, and two of others, and tells the rest of itself with a digest that covers only itself.

Open: a host that misses the message of one that starts at the same moment does not know it until that host sends it a digest directly.

--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Distance, Phase, Target};
+use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Distance, HostRecord, Phase, Target};
 use foxtail_steer::named_limit::LimitReport;
 use foxtail_steer::pull_queue::{SOURCE_NOTICE_HOSTS, Step};
 use foxtail_steer::suspects::MAX_STRIKES;
@@ -39,7 +39,7 @@
 /// call to the store, and of digests that were lost.
 const MAX_JOIN_TIME: Millis = Millis(1_500);
 
-/// The number of strikes against a request at which other hosts are informed at once. A single
+/// The number of strikes against a request at which other hosts are told of it as news. A single
 /// strike is most often the fault of an upstream or a link, and goes out with the periodic digests.
 pub(crate) const IMMEDIATE_SHARE_STRIKES: usize = MAX_STRIKES - 1;
 
@@ -132,7 +132,8 @@
 }
 
 /// Sends a digest to one host of this host's region in each period; hosts that read the store also
-/// send one to a host of another region. Also sends update notices and runs the periodic clean-ups.
+/// send one to a host of another region. Also sends update notices and news, and runs the periodic
+/// clean-ups.
 pub(crate) async fn send_digests(cx: Arc<HostContext>, socket: Arc<UdpSocket>) {
     let mut ticks = tokio::time::interval(DIGEST_INTERVAL.duration());
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -177,8 +178,7 @@
             fleet.beat(now);
             fleet.set_request_rate(rate);
             let (own_region, other_regions) = fleet.digest_targets();
-            let own_region =
-                own_region.choose(&mut rand::rng()).map(|to| (fleet.digest(now, false), *to));
+            let own_region = own_region.choose(&mut rand::rng()).map(|to| (fleet.digest(now), *to));
             // Only hosts that read the store send periodic digests to other regions, to keep the
             // regions in contact.
             let other_regions =
@@ -213,8 +213,7 @@
     }
 }
 
-/// Sends a short digest to all other hosts of this host's region, because the store has changes or
-/// a request has strikes.
+/// Sends a short digest to all other hosts of this host's region, because the store has changes.
 async fn send_update_notice(cx: &HostContext, socket: &UdpSocket) {
     let now = cx.now();
     let (digest, own_region) = {
@@ -294,7 +293,8 @@
     cx.lifecycle.ended.clone().run_until_cancelled(joining).await;
 }
 
-/// Reads the other hosts' registrations, and asks these hosts for their digests.
+/// Reads the other hosts' registrations, asks a few of these hosts for their digests, and tells the
+/// others of this one.
 async fn announce(cx: &HostContext, socket: &UdpSocket) {
     loop {
         match cx.store.read(Area::Hosts).await {
@@ -317,8 +317,17 @@
     let known = cx.fleet.lock().host_count();
     tracing::info!(event = "hosts_read", hosts = known);
     check_joined(cx, false, cx.now());
-    let digest = cx.fleet.lock().digest(cx.now(), true);
-    send_to_all(cx, socket, digest).await;
+    let (request, own, asked, told) = {
+        let (mut fleet, now) = (cx.fleet.lock(), cx.now());
+        let (asked, told) = fleet.join_targets();
+        let targets = |records: Vec<&HostRecord>| -> Vec<Target> {
+            records.into_iter().map(|record| fleet.target(record)).collect()
+        };
+        let (asked, told) = (targets(asked), targets(told));
+        (fleet.join_request(now), fleet.own_digest(now), asked, told)
+    };
+    send_digest(cx, socket, MessageKind::Phase, request, asked).await;
+    send_digest(cx, socket, MessageKind::Phase, own, told).await;
 }
 
 /// Sets the host's phase and announces it to all other hosts.
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -52,8 +52,15 @@
 /// It spans the rounds of digests that a heartbeat needs to reach most of a region and return.
 const ECHO_TIMEOUT: Millis = Millis(5_000);
 
-/// One in this many digests covers the hosts of all regions, as do those that request a reply. The
-/// others cover only the sender's region.
+/// The number of hosts of its own region that a starting host asks for their digests. Any of them may have
+/// failed since it was registered.
+const JOIN_TARGETS: usize = 4;
+
+/// The number of hosts of other regions that it asks, in case its own region has none left.
+const REMOTE_JOIN_TARGETS: usize = 2;
+
+/// One in this many digests covers the hosts of all regions, as do replies. The others cover only the
+/// sender's region.
 const DIGESTS_PER_FULL_DIGEST: u64 = 4;
 
 /// Requests per second that one entry host takes before callers are directed to another one.
@@ -451,12 +458,16 @@
         higher_ranked.count() < READERS_PER_REGION
     }
 
-    /// Returns this host's digest at `now` for a host of its own region. If `reply` is set, the
-    /// digest requests one in return and covers the hosts of all regions.
-    pub fn digest(&mut self, now: Millis, reply: bool) -> Digest {
+    /// Returns this host's digest at `now` for a host of its own region.
+    pub fn digest(&mut self, now: Millis) -> Digest {
         self.digests_sent += 1;
-        let all_regions = reply || self.digests_sent.is_multiple_of(DIGESTS_PER_FULL_DIGEST);
-        self.build_digest(now, reply, all_regions)
+        let all_regions = self.digests_sent.is_multiple_of(DIGESTS_PER_FULL_DIGEST);
+        self.build_digest(now, false, all_regions)
+    }
+
+    /// Returns a digest that covers only this host and requests one in return.
+    pub fn join_request(&mut self, now: Millis) -> Digest {
+        Digest { reply: true, ..self.own_digest(now) }
     }
 
     /// Returns a digest for a host that asked for one. It covers all regions: a starting host may need
@@ -517,14 +528,50 @@
     /// Returns all other hosts: those of this region, and those of other regions.
     pub fn digest_targets(&self) -> (Vec<Target>, Vec<Target>) {
         let others = self.peers.values().filter(|peer| peer.record.id != self.own_id);
-        let targets = others.map(|peer| Target {
-            addr: peer.record.peer,
-            distance: self.distance_to(&peer.record),
-        });
+        let targets = others.map(|peer| self.target(&peer.record));
         targets.partition(|target| target.distance != Distance::OtherRegion)
     }
 
-    /// Returns the host at the address `ip` and how far it is away.
+    /// Returns the hosts that this one asks for their digests when it starts, and those that it only tells
+    /// of itself.
+    ///
+    /// The load that this answers: hosts that start all at once or one after the other, each of which
+    /// would get a digest from each other host. It asks a few, of its own zone first; each knows the
+    /// fleet. Those of other regions answer if its own has none left.
+    pub fn join_targets(&self) -> (Vec<&HostRecord>, Vec<&HostRecord>) {
+        let own = self.own_record();
+        let key = rendezvous::hash(own.id.as_str());
+        let others = self.peers.values().map(|peer| &peer.record);
+        let mut others: Vec<&HostRecord> = others.filter(|record| record.id != own.id).collect();
+        others.sort_by_cached_key(|record| {
+            (self.distance_to(record), rendezvous::weight(key, record.id.as_str()))
+        });
+        let first_remote =
+            others.partition_point(|record| self.distance_to(record) != Distance::OtherRegion);
+        let mut told = others.split_off(first_remote);
+        let told_locally = others.split_off(others.len().min(JOIN_TARGETS));
+        let remote = told.drain(..told.len().min(REMOTE_JOIN_TARGETS));
+        others.extend(remote);
+        told.extend(told_locally);
+        (others, told)
+    }
+
+    /// Returns where to send messages to the host that `record` describes.
+    pub fn target(&self, record: &HostRecord) -> Target {
+        Target { addr: record.peer, distance: self.distance_to(record) }
+    }
+
+    /// Returns the other hosts of this region that are alive.
+    pub fn alive_targets(&self, now: Millis) -> Vec<Target> {
+        let region = &self.own_record().region;
+        let keys = self.keys_by_region.get(region).into_iter().flatten();
+        let alive = keys
+            .map(|key| &self.peers[key])
+            .filter(|peer| peer.record.id != self.own_id && is_alive(peer, region, now));
+        alive.map(|peer| self.target(&peer.record)).collect()
+    }
+
+    /// Returns how far the host at the address `ip` is away.
     pub fn distance_to_address(&self, ip: IpAddr) -> Option<Distance> {
         let peer = self.peers.values().find(|peer| peer.record.peer.ip() == ip)?;
         Some(self.distance_to(&peer.record))
--- a/foxtail-steer/tests/common/mod.rs
+++ b/foxtail-steer/tests/common/mod.rs
@@ -94,7 +94,7 @@
 
 /// Delivers a digest of each host to all hosts of `fleets`.
 pub(crate) fn exchange_digests(fleets: &mut [Fleet], now: Millis) {
-    let digests: Vec<_> = fleets.iter_mut().map(|fleet| fleet.digest(now, false)).collect();
+    let digests: Vec<_> = fleets.iter_mut().map(|fleet| fleet.digest(now)).collect();
     for fleet in fleets {
         for digest in &digests {
             fleet.receive(digest, now);
--- a/foxtail-steer/tests/cut_off/simulation.rs
+++ b/foxtail-steer/tests/cut_off/simulation.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Fleet, Phase};
+use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Fleet, HostRecord, Phase};
 use foxtail_steer::reachability::{PROBE_TIMEOUT, ProbeOutcome, ProbeReasons, Reachability};
 use foxtail_steer::relay::MAX_RELAY_OFFERS;
 use foxtail_steer::steering::{Outcome, Placement, Request as PlacementRequest};
@@ -192,7 +192,7 @@
                 let now = self.now;
                 self.hosts[n].fleet.receive(&digest, now);
                 if digest.reply {
-                    let reply = self.hosts[n].fleet.digest(now, false);
+                    let reply = self.hosts[n].fleet.reply(now);
                     self.post(host_index(&digest.from.id), reply);
                 }
             }
@@ -367,7 +367,7 @@
     }
 
     fn tick(&mut self, n: usize) {
-        let digest = self.hosts[n].fleet.digest(self.now, false);
+        let digest = self.hosts[n].fleet.digest(self.now);
         let to = self.random_host(|to| to != n && region_of(to) == region_of(n));
         self.post(to, digest);
         if self.hosts[n].fleet.is_reader(self.now) {
@@ -395,11 +395,20 @@
         self.schedule(delay, Event::ProbesEnd(n, vec![outcome; count]));
     }
 
-    /// Announces a host that has started, and lets the others reply.
+    /// Announces a host that has started, and lets those that it asks reply.
     fn join(&mut self, n: usize) {
-        let digest = self.hosts[n].fleet.digest(self.now, true);
-        for to in (0..self.hosts.len()).filter(|to| *to != n) {
-            self.post(to, digest.clone());
+        let fleet = &mut self.hosts[n].fleet;
+        let (asked, told) = fleet.join_targets();
+        let indices = |records: Vec<&HostRecord>| -> Vec<usize> {
+            records.into_iter().map(|record| host_index(&record.id)).collect()
+        };
+        let (asked, told) = (indices(asked), indices(told));
+        let (request, own) = (fleet.join_request(self.now), fleet.own_digest(self.now));
+        for to in asked {
+            self.post(to, request.clone());
+        }
+        for to in told {
+            self.post(to, own.clone());
         }
     }
 
--- a/foxtail-steer/tests/limits/simulation.rs
+++ b/foxtail-steer/tests/limits/simulation.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Fleet, Phase};
+use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Fleet, HostRecord, Phase};
 use foxtail_steer::named_limit::{LimitChange, LimitReport};
 use foxtail_steer::steering::Outcome;
 use foxtail_steer::{RateLimit, Steering};
@@ -227,7 +227,7 @@
         let host = &mut self.hosts[n];
         host.fleet.set_upstreams_lost(lost);
         host.has_lost_upstreams = lost;
-        let digest = host.fleet.digest(now, false);
+        let digest = host.fleet.digest(now);
         let limits = host.steering.limits_to_share(now);
         host.steering.update_limit_senders(&host.fleet, now);
         if now >= JOIN_TIME {
@@ -245,11 +245,20 @@
         }
     }
 
-    /// Announces a host that has started, and lets the others reply.
+    /// Announces a host that has started, and lets those that it asks reply.
     fn join(&mut self, n: usize) {
-        for to in 0..self.hosts.len() {
-            let digest = self.hosts[n].fleet.digest(self.now, true);
-            self.post(n, to, digest, Vec::new());
+        let fleet = &mut self.hosts[n].fleet;
+        let (asked, told) = fleet.join_targets();
+        let indices = |records: Vec<&HostRecord>| -> Vec<usize> {
+            records.into_iter().map(|record| host_index(&record.id)).collect()
+        };
+        let (asked, told) = (indices(asked), indices(told));
+        let (request, own) = (fleet.join_request(self.now), fleet.own_digest(self.now));
+        for to in asked {
+            self.post(n, to, request.clone(), Vec::new());
+        }
+        for to in told {
+            self.post(n, to, own.clone(), Vec::new());
         }
     }
 
@@ -262,7 +271,7 @@
                 host.fleet.receive(&digest, now);
                 let changes = host.steering.merge_limits(&limits, now);
                 if digest.reply {
-                    let reply = host.fleet.digest(now, false);
+                    let reply = host.fleet.reply(now);
                     let limits = host.steering.limits_to_share(now);
                     self.post(n, from, reply, limits);
                 }
--- a/foxtail-steer/tests/placing.rs
+++ b/foxtail-steer/tests/placing.rs
@@ -271,7 +271,7 @@
     let (region, zone) = ("c".parse().unwrap(), "c1".parse().unwrap());
     assert_eq!(fleets[0].entry_hosts(&region, &zone, Millis(0)).len(), 2);
     fleets[1].set_phase(Phase::Leaving);
-    let digest = fleets[1].digest(Millis(100), false);
+    let digest = fleets[1].digest(Millis(100));
     fleets[0].receive(&digest, Millis(100));
     let listed = fleets[0].entry_hosts(&region, &zone, Millis(100));
     assert_eq!(listed.iter().map(|record| record.id.as_str()).collect::<Vec<_>>(), ["h1"]);
