perf(steer): hosts tell strikes to a few others, at a bounded rate

Cause: each strike from the second against a request on made every host that heard of it send a digest to its whole region: N x N messages a strike.

Change: a host that records or hears of such a strike tells four random hosts of its region that are alive, once in 0.4 s at most; what comes in between goes along. Half of the strikes in a message are those of this host that no answer has cleared for a second, since a crowd of new ones kept them from being shared.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -6,7 +6,8 @@
 use foxtail_net::Dial;
 use foxtail_place::BlockMap;
 use foxtail_steer::{
-    Fleet, Reachability, Steering, StoreNews, Suspects, TransferLimit, UnconfirmedStrikes,
+    Fleet, NewsPacer, Reachability, Steering, StoreNews, Suspects, TransferLimit,
+    UnconfirmedStrikes,
 };
 use foxtail_types::prelude::*;
 use parking_lot::Mutex;
@@ -41,8 +42,12 @@
     pub(crate) probe_upstreams: Notify,
     /// Wakes the requests that wait for upstreams, because this host lost them.
     pub(crate) upstreams_lost: Notify,
-    /// Wakes the task that informs other hosts of changes in the store or of strikes.
+    /// Wakes the task that informs other hosts of changes in the store.
     pub(crate) notify_peers: Notify,
+    /// When other hosts are told of strikes.
+    pub(crate) news: Mutex<NewsPacer>,
+    /// Wakes the task that informs other hosts of strikes.
+    pub(crate) news_added: Notify,
     /// Wakes the task that informs other hosts, because this host can serve a large change to them.
     pub(crate) announce_source: Notify,
     /// Tasks that answer other hosts, pull from them or remove registrations.
@@ -99,6 +104,8 @@
             probe_upstreams: Notify::new(),
             upstreams_lost: Notify::new(),
             notify_peers: Notify::new(),
+            news: Mutex::default(),
+            news_added: Notify::new(),
             announce_source: Notify::new(),
             tasks: TaskTracker::new(),
             pool: Pool::new(Arc::clone(&dial)),
@@ -118,6 +125,12 @@
         self.clock.now()
     }
 
+    /// Informs other hosts of strikes, as soon as it is their turn.
+    pub(crate) fn add_news(&self) {
+        self.news.lock().add();
+        self.news_added.notify_one();
+    }
+
     /// Whether the host serves callers.
     pub(crate) fn is_serving(&self) -> bool {
         self.lifecycle.is_complete() && !self.lifecycle.is_leaving()
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -8,6 +8,7 @@
 
 use foxtail_steer::fleet::{DIGEST_INTERVAL, Digest, Distance, HostRecord, Phase, Target};
 use foxtail_steer::named_limit::LimitReport;
+use foxtail_steer::news::NEWS_TARGETS;
 use foxtail_steer::pull_queue::{SOURCE_NOTICE_HOSTS, Step};
 use foxtail_steer::suspects::MAX_STRIKES;
 use foxtail_types::prelude::*;
@@ -126,7 +127,7 @@
         if strikes >= IMMEDIATE_SHARE_STRIKES {
             tracing::info!(event = "suspect", fingerprint = %strike.request, strikes,
                 heard_from = %digest.from.id, age_ms = strike.age.0);
-            cx.notify_peers.notify_one();
+            cx.add_news();
         }
     }
 }
@@ -144,8 +145,14 @@
     let mut last_log = last_tick;
     let started = last_tick;
     loop {
+        let news_due = cx.news.lock().due_in(cx.now());
         tokio::select! {
             _ = ticks.tick() => {}
+            () = tokio::time::sleep(news_due.unwrap_or_default().duration()), if news_due.is_some() => {
+                send_news(&cx, &socket).await;
+                continue;
+            }
+            () = cx.news_added.notified() => continue,
             () = cx.notify_peers.notified() => {
                 send_update_notice(&cx, &socket).await;
                 continue;
@@ -213,6 +220,23 @@
     }
 }
 
+/// Sends a short digest with strikes to a few random hosts of this host's region, if it is time to.
+async fn send_news(cx: &HostContext, socket: &UdpSocket) {
+    let now = cx.now();
+    if !cx.news.lock().take(now) {
+        return;
+    }
+    let (digest, targets) = {
+        let mut fleet = cx.fleet.lock();
+        let alive = fleet.alive_targets(now);
+        (
+            fleet.own_digest(now),
+            alive.choose_multiple(&mut rand::rng(), NEWS_TARGETS).copied().collect::<Vec<_>>(),
+        )
+    };
+    send_digest(cx, socket, MessageKind::News, digest, targets).await;
+}
+
 /// Sends a short digest to all other hosts of this host's region, because the store has changes.
 async fn send_update_notice(cx: &HostContext, socket: &UdpSocket) {
     let now = cx.now();
--- a/foxtail-entry/src/strikes.rs
+++ b/foxtail-entry/src/strikes.rs
@@ -87,7 +87,7 @@
             tracing::info!(event = "suspect", request = strike.request_id,
                 fingerprint = %request, strikes, %upstream, age_ms = self.now().since(*at).0);
             if strikes >= IMMEDIATE_SHARE_STRIKES {
-                self.notify_peers.notify_one();
+                self.add_news();
             }
         }
     }
--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -41,6 +41,10 @@
 /// several rounds of digests through all regions.
 const STRIKE_SHARE_PERIOD: Millis = Millis::secs(10);
 
+/// Age from which a strike is more likely the fault of the request: the next attempt at a healthy one
+/// would have been answered by then.
+const LASTING_STRIKE_AGE: Millis = Millis(1_000);
+
 /// Most strikes in one digest, so that the digest fits into one datagram.
 const MAX_SHARED_STRIKES: usize = 16;
 
@@ -129,6 +133,8 @@
 struct StoredStrike {
     upstream: u64,
     at: Millis,
+    /// Whether this host recorded it, which then also knows whether a later attempt was answered.
+    own: bool,
 }
 
 impl Fingerprints {
@@ -167,7 +173,7 @@
     ) -> Option<usize> {
         self.insert(
             request,
-            StoredStrike { upstream: incarnation(upstream, started), at: now },
+            StoredStrike { upstream: incarnation(upstream, started), at: now, own: true },
             now,
         )
     }
@@ -183,7 +189,7 @@
             answer.share_until = now + STRIKE_SHARE_PERIOD;
             return None;
         }
-        self.insert(strike.request, StoredStrike { upstream: strike.upstream, at }, now)
+        self.insert(strike.request, StoredStrike { upstream: strike.upstream, at, own: false }, now)
     }
 
     /// Returns whether an incarnation of an upstream has a current strike against `request`.
@@ -305,7 +311,9 @@
     }
 
     /// Returns the strikes to share with other hosts: those against the next barred requests, and
-    /// recent ones against others, first against requests with several strikes.
+    /// recent ones against others, first against requests with several strikes. Half of the latter are
+    /// strikes of this host that no answer has cleared for a while, so that many connections which break
+    /// at once do not crowd them out.
     pub fn strikes_to_share(&mut self, now: Millis) -> Vec<Strike> {
         let (barred, others): (Vec<_>, Vec<_>) =
             self.requests.iter().partition(|(_, strikes)| is_barred(strikes, now));
@@ -327,16 +335,19 @@
             }
             shared.extend(decisive.into_iter().map(|strike| to_share(request, strike)));
         }
-        let mut recent: Vec<(usize, Strike)> = others
-            .into_iter()
-            .flat_map(|(request, strikes)| {
-                strikes.iter().map(|strike| (strikes.len(), to_share(request, strike)))
-            })
-            .filter(|(_, strike)| strike.age <= STRIKE_SHARE_PERIOD)
-            .collect();
-        recent.sort_by_key(|(count, strike)| (std::cmp::Reverse(*count), strike.age));
-        recent.truncate(MAX_SHARED_STRIKES - shared.len());
-        shared.extend(recent.into_iter().map(|(_, strike)| strike));
+        let recent = others.into_iter().flat_map(|(request, strikes)| {
+            strikes.iter().map(move |strike| (strikes.len(), strike.own, to_share(request, strike)))
+        });
+        let (mut lasting, mut fresh): (Vec<_>, Vec<_>) = recent
+            .filter(|(_, _, strike)| strike.age <= STRIKE_SHARE_PERIOD)
+            .partition(|(_, own, strike)| *own && strike.age >= LASTING_STRIKE_AGE);
+        for strikes in [&mut lasting, &mut fresh] {
+            strikes.sort_by_key(|(count, _, strike)| (std::cmp::Reverse(*count), strike.age));
+        }
+        let left = MAX_SHARED_STRIKES - shared.len();
+        let rest = lasting.split_off(lasting.len().min(left / 2));
+        let recent = lasting.into_iter().chain(fresh).chain(rest);
+        shared.extend(recent.take(left).map(|(.., strike)| strike));
         self.last_shared_bar = last_shared_bar;
         shared
     }
