fix(entry): a stopping host takes nothing that it can't finish, and answers what it ends

A host takes requests for 40 % of its stop timeout, and cuts off what is under way at 92 %. With 10 s it took requests until 4.3 s after SIGTERM, and those that last longer than 4.9 s were cut without an answer, among them such that must not be repeated; the tasks of their connections outlived Host::stop.

Change: a stopping host refuses at once, as not run (stopping), a request that by one and a half times its estimate without a cached object is not answered before the end. What it takes gets the end as its deadline. What is still under way then is answered with 502, and its connections are awaited.

Tests on real hosts: refused at once and not run (before: 200 after the cut-off, run), answered with 502 or 504 (before: not ended by the host at all), short requests served.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -54,7 +54,8 @@
     NotRun(Outcome),
     /// The upstream may have run the request.
     MayHaveRun(Outcome),
-    /// The request was given up since no upstream answers this host; the upstream may have run it.
+    /// The request was given up, since no upstream answers this host or since it stops; the upstream may
+    /// have run it.
     GivenUp,
 }
 
@@ -175,7 +176,8 @@
     }
 }
 
-/// As [`send`]; returns `None` if the request is given up because no upstream answers this host.
+/// As [`send`]; returns `None` if the request is given up because no upstream answers this host, or
+/// because it stops.
 async fn send_while_answered(
     cx: &HostContext,
     up: &Upstream,
@@ -196,6 +198,7 @@
         tokio::select! {
             outcome = sending.as_mut() => return Some(outcome),
             () = lost => {}
+            () = cx.lifecycle.cut_off.cancelled() => return None,
             () = tokio::time::sleep(end.unwrap_or_default().duration()), if end.is_some() => {}
         }
     }
--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -1,12 +1,12 @@
 //! The state shared by all tasks of a host.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use foxtail_net::Dial;
 use foxtail_place::BlockMap;
 use foxtail_steer::{
-    Fleet, NewsPacer, Reachability, Steering, StoreNews, Suspects, TransferLimit,
+    Fleet, NewsPacer, Reachability, Steering, Stop, StoreNews, Suspects, TransferLimit,
     UnconfirmedStrikes,
 };
 use foxtail_types::prelude::*;
@@ -80,6 +80,10 @@
     pub(crate) leaving: AtomicBool,
     /// Cancelled to close idle HTTP connections and to accept no new ones for callers' requests.
     pub(crate) closing: CancellationToken,
+    /// When the requests of a stopping host are ended.
+    pub(crate) stop: OnceLock<Stop>,
+    /// Cancelled to end the requests that are still under way shortly before the end of a stop.
+    pub(crate) cut_off: CancellationToken,
     /// Cancelled to end all tasks.
     pub(crate) ended: CancellationToken,
 }
--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -7,6 +7,7 @@
 
 use anyhow::Context;
 use foxtail_net::Dial;
+use foxtail_steer::Stop;
 use foxtail_steer::fleet::Phase;
 use foxtail_types::prelude::*;
 use jsonrpsee::server::ServerHandle;
@@ -26,6 +27,9 @@
 /// The share of the stop timeout, in percent, after which the remaining requests are cut off.
 const CUT_OFF_PERCENT: u64 = 92;
 
+/// How long the answers to requests that are cut off may take to be sent.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(50);
+
 /// How long removing the host's registration may delay the stop.
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -143,6 +147,8 @@
         let stop_started = cx.now();
         let requests = cx.requests.load(Ordering::Relaxed);
         tracing::info!(event = "stop", grace_ms = stop_timeout.0, requests);
+        let cut_off_at = stop_started + Millis(stop_timeout.0 * CUT_OFF_PERCENT / 100);
+        cx.lifecycle.stop.get_or_init(|| Stop { cut_off_at });
         cx.lifecycle.leaving.store(true, Ordering::Relaxed);
         gossip::enter_phase(&cx, &socket, Phase::Leaving).await;
         let host = cx.fleet.lock().own_record().id.clone();
@@ -157,13 +163,16 @@
         let close_idle_at = stop_started + Millis(stop_timeout.0 * CLOSE_IDLE_PERCENT / 100);
         tokio::time::sleep(close_idle_at.since(cx.now()).duration()).await;
         cx.lifecycle.closing.cancel();
-        let cut_off_at = stop_started + Millis(stop_timeout.0 * CUT_OFF_PERCENT / 100);
         // Connections that waited to be accepted are still being added.
         tokio::time::sleep(LAST_REQUEST_TIME.min(cut_off_at.since(cx.now())).duration()).await;
         caller_conns.close();
         let left = cut_off_at.since(cx.now()).duration();
         let finished = tokio::time::timeout(left, caller_conns.wait()).await.is_ok();
         let cut_off = if finished { 0 } else { caller_conns.len() };
+        cx.lifecycle.cut_off.cancel();
+        if tokio::time::timeout(LAST_ANSWER_TIME, caller_conns.wait()).await.is_err() {
+            tracing::info!(event = "callers_do_not_read", connections = caller_conns.len());
+        }
         cx.lifecycle.ended.cancel();
         tasks.close();
         tasks.wait().await;
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -38,6 +38,9 @@
 /// `Retry-After` of a host that has not read its configuration and the upstreams yet.
 const NOT_READY_RETRY_AFTER: Millis = Millis(300);
 
+/// `Retry-After` of a host that stops before it could finish a request. Other hosts take it at once.
+const STOPPING_RETRY_AFTER: Millis = Millis(10);
+
 /// `Retry-After` when no upstream may take the request.
 const NO_UPSTREAM_RETRY_AFTER: Millis = Millis(250);
 
@@ -135,6 +138,7 @@
     let timeout = info.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let timeout = relayed.map_or(timeout, |relayed| relayed.time_left);
     let deadline = arrived + timeout.min(route.timeout);
+    let deadline = cx.lifecycle.stop.get().map_or(deadline, |stop| deadline.min(stop.cut_off_at));
     let body = read_body(cx, body, cfg.limits.body_bytes, deadline).await;
     let body = body.inspect_err(|refusal| request_log.record_refusal(cx, "-", refusal, None))?;
     strip_connection_headers(&mut head.headers);
@@ -302,6 +306,11 @@
                 break attempts.final_refusal(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER);
             }
         };
+        if let Some(stop) = cx.lifecycle.stop.get()
+            && !stop.can_finish(&estimate, now)
+        {
+            break attempts.final_refusal(Reason::Stopping, STOPPING_RETRY_AFTER);
+        }
         if !attempts.reached.is_empty() && !cx.steering.lock().try_take_retry(&service, hosts, now)
         {
             let retry_after = cx.retry_after_refusals(&service, route, SHED_RETRY_AFTER);
@@ -332,6 +341,7 @@
             AttemptOutcome::GivenUp => {
                 attempts.record(Outcome::Cancelled, true);
                 if route.idempotent
+                    && !cx.lifecycle.cut_off.is_cancelled()
                     && let Some(served) =
                         serve_elsewhere(cx, request_log, &fwd, &mut attempts, &origin).await
                 {
--- a/foxtail-steer/src/placement.rs
+++ b/foxtail-steer/src/placement.rs
@@ -134,6 +134,8 @@
 pub struct Estimate {
     /// Expected time until the answer, in milliseconds.
     pub expected_ms: f64,
+    /// Expected time until the answer if the upstream does not have the object cached, in milliseconds.
+    pub uncached_ms: f64,
     /// The part of `expected_ms` spent waiting for a slot, in milliseconds.
     pub wait_ms: f64,
     /// Estimated number of requests at the upstream, running and waiting.
@@ -337,6 +339,7 @@
             - cache_state.eviction_cost;
         let estimate = Estimate {
             expected_ms,
+            uncached_ms: rtt_ms + wait_ms + work.miss_ms * slowdown,
             wait_ms,
             load: state.load(now),
             report_age: state.reported_at.map(|reported_at| now.since(reported_at)),
--- a/foxtail-steer/src/relay.rs
+++ b/foxtail-steer/src/relay.rs
@@ -57,7 +57,7 @@
     /// Returns for how long the second host waits without an answer from any upstream, if the first one
     /// takes the request back then.
     pub fn patience(&self) -> Option<Millis> {
-        self.takes_back.then(|| Millis(self.time_left.0 / RELAY_PATIENCE_DIVISOR))
+        self.takes_back.then_some(Millis(self.time_left.0 / RELAY_PATIENCE_DIVISOR))
     }
 
     /// Records what a host did that handed the request back.
--- a/foxtail-types/src/reason.rs
+++ b/foxtail-types/src/reason.rs
@@ -43,6 +43,8 @@
     CrashedUpstreams,
     /// The host has no configuration yet.
     NotReady,
+    /// The host stops before it could finish the request.
+    Stopping,
 }
 
 impl Reason {
@@ -67,6 +69,7 @@
             Reason::StoreUnavailable => "store-unavailable",
             Reason::CrashedUpstreams => "crashed-upstreams",
             Reason::NotReady => "not-ready",
+            Reason::Stopping => "stopping",
         }
     }
 }
