fix(entry): requests that wait behind another are dropped when their caller leaves

Cause: the HTTP library notices that a caller has closed its connection only when it reads, and it does not read while pipelined requests wait in its buffer or unread in the system's. Those were passed on one after the other, and the first one was worked on for nobody.

Change: connections of callers are watched for the close itself; a request whose caller has left ends without a response, and none that waits behind it is passed on.

--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! upstream a request goes to. [`Host::start`] starts a host, [`Host::stop`] stops it gracefully.
 
 mod attempt;
+mod caller_stream;
 mod context;
 mod control_traffic;
 mod follow;
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -1,6 +1,5 @@
 //! Accepts connections and serves HTTP on them.
 
-use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
@@ -17,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::caller_stream::CallerStream;
 use crate::context::HostContext;
 use crate::{lookup, request};
 
@@ -33,6 +33,11 @@
 /// the last ones: their callers may have sent a request that is not read yet.
 pub(crate) const LAST_REQUEST_TIME: Millis = Millis(300);
 
+/// The caller closed the connection before its request was answered.
+#[derive(Debug, thiserror::Error)]
+#[error("the caller has left")]
+struct CallerLeft;
+
 /// The kind of requests that a listener accepts.
 #[id]
 pub(crate) enum ListenerKind {
@@ -107,16 +112,24 @@
     }
     let limits = cx.steering.lock().config().map(|cfg| cfg.limits).unwrap_or_default();
     let closing = cx.lifecycle.closing.clone();
+    let stream = CallerStream::new(stream);
     let service = service_fn(|req: Request<Incoming>| {
-        let cx = Arc::clone(&cx);
-        async move { Ok::<Response<Body>, Infallible>(respond(cx, req, from, kind).await) }
+        let (cx, stream) = (Arc::clone(&cx), stream.clone());
+        async move {
+            tokio::select! {
+                // Requests that waited behind another one may have lost their caller meanwhile.
+                biased;
+                () = stream.closed() => Err(CallerLeft),
+                response = respond(cx, req, from, kind) => Ok::<Response<Body>, _>(response),
+            }
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         // The library's timeout for reading a head also covers the idle time before it.
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout).duration())
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream.clone()), service);
     tokio::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
--- a/foxtail-entry/tests/serving.rs
+++ b/foxtail-entry/tests/serving.rs
@@ -339,3 +339,37 @@
     assert_eq!(up.received_requests(), []);
     host.stop().await;
 }
+
+#[tokio::test]
+async fn requests_that_wait_behind_another_are_not_passed_on_after_their_caller_has_left() {
+    use tokio::io::AsyncWriteExt;
+
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    up.set_work_time(Duration::from_millis(1_200));
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    for reset in [false, true] {
+        let (received, cancelled) = (up.received_requests().len(), up.cancelled());
+        let mut stream = tokio::net::TcpStream::connect(host.settings().caller).await.unwrap();
+        let texts = (0..3).map(|n| request("GET", "/read/1", &format!("{reset}-{n}"), 2_000, ""));
+        stream.write_all(texts.collect::<String>().as_bytes()).await.unwrap();
+        common::until("the upstream has the first request", async || {
+            up.received_requests().len() > received
+        })
+        .await;
+        if reset {
+            stream.set_zero_linger().unwrap();
+        }
+        drop(stream);
+        let left_at = tokio::time::Instant::now();
+        common::until("the upstream cancels the request", async || up.cancelled() > cancelled)
+            .await;
+        assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let received = up.received_requests().len() - received;
+        assert_eq!(received, 1, "reset: {reset}; requests that reached the upstream");
+    }
+    host.stop().await;
+}
--- a/foxtail-steer/tests/news.rs
+++ b/foxtail-steer/tests/news.rs
@@ -65,7 +65,10 @@
             }
             self.answers.push_back((now + ANSWERED_AFTER, host, request));
         }
-        while let Some((_, host, request)) = self.answers.pop_front_if(|(at, ..)| *at <= now) {
+        while let Some((at, host, request)) = self.answers.front().copied()
+            && at <= now
+        {
+            self.answers.pop_front();
             self.hosts[host].clear(request, now);
         }
     }
