fix(entry): a 421 without an identifier does not end a request on a connection that has answered

Refusals carry the identifier of their request and were told apart already (is_foreign in attempt.rs); a request with the same identifier never reaches the same upstream twice, since placement leaves out those that were tried, also by the host that relayed it. A 421 without an identifier was taken as that of the present owner of a reassigned address on any connection, though: the caller was told 'not run' of a request that its upstream ran then. It counts only as the first answer of a connection now.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -272,11 +272,13 @@
         }
     };
     let info = cx.protocol.parse_response(response.status(), response.headers());
-    // The present owner of an address that was reassigned may answer without an identifier.
+    // The present owner of an address that was reassigned may answer without an identifier, but not on
+    // a connection on which the upstream itself has answered.
     let is_foreign = match &info.id {
         Some(id) => id != fwd.id,
-        None => !info.moved,
+        None => !(info.moved && conn.is_new),
     };
+    conn.is_new = false;
     if is_foreign {
         // A surplus response to an earlier request: the state of this connection is unknown.
         tracing::warn!(event = "foreign_answer", request = fwd.id, upstream = %up.id,
--- a/foxtail-entry/tests/once.rs
+++ b/foxtail-entry/tests/once.rs
@@ -393,3 +393,33 @@
     assert_eq!(crashed.len(), 3, "upstreams that the request crashed: {crashed:?}");
     host.stop().await;
 }
+
+#[tokio::test]
+async fn refusal_that_an_upstream_sends_once_more_is_not_taken_for_that_of_the_next_request() {
+    for act in [
+        Behavior::ShedAgainAfter(Duration::from_millis(100)),
+        Behavior::MisdirectAfter(Duration::from_millis(100)),
+    ] {
+        let site = TestSite::new();
+        site.configure(7);
+        let up = site.upstream("up-1", "a1").await;
+        let endpoint = site.store_endpoint().await;
+        let host = site.ready_host("h-1", "a1", &endpoint).await;
+        let caller = host.settings().caller;
+        up.queue_behaviors([act.clone()]);
+
+        exchange(caller, &request("POST", "/write/1", "r1", 1_500, "")).await;
+        let second = exchange(caller, &request("POST", "/write/1", "r2", 1_500, "")).await;
+
+        assert_eq!(up.connections(), 1, "{act:?}: the second request came on another connection");
+        assert_eq!(second.status, 502, "{act:?}: {}", second.body);
+        let ran = |seen: &foxtail_standin::upstream::ReceivedRequest| {
+            seen.has_run && seen.headers["foxtailrouter-request-id"] == "r2"
+        };
+        until("the upstream has run the second request", async || {
+            up.received_requests().iter().filter(|seen| ran(seen)).count() == 1
+        })
+        .await;
+        host.stop().await;
+    }
+}
--- a/foxtail-standin/src/upstream.rs
+++ b/foxtail-standin/src/upstream.rs
@@ -37,6 +37,12 @@
     Silent,
     /// Runs it, answers, and sends the answer once more after this time.
     AnswerAgainAfter(Duration),
+    /// Refuses it with status 503, does not run it, and sends the refusal once more after this time.
+    ShedAgainAfter(Duration),
+    /// Runs it, answers, and after this time sends status 421 without an identifier.
+    MisdirectAfter(Duration),
+    /// Runs it, sends these bytes and closes the connection.
+    SendAndClose(Vec<u8>),
     /// Runs it and answers with status 421 and the identifier of another request.
     MisdirectAnother,
     /// Runs it, answers without `Content-Length`, and resets the connection within the body.
@@ -362,6 +368,12 @@
                 format!("foxtailrouter-not-executed: 1\r\n{}", self.leaving_header());
             return send_answer(stream, 503, &id, &extra_headers, b"").await.map(|()| true);
         }
+        if let Behavior::ShedAgainAfter(delay) = behavior {
+            let extra_headers = "foxtailrouter-not-executed: 1\r\n";
+            send_answer(stream, 503, &id, extra_headers, b"").await?;
+            tokio::time::sleep(delay).await;
+            return send_answer(stream, 503, &id, extra_headers, b"").await.map(|()| true);
+        }
         if behavior == Behavior::ShedEndlessly {
             let head = format!(
                 "HTTP/1.1 503 -\r\nfoxtailrouter-request-id: {id}\r\n\
@@ -409,6 +421,15 @@
                 tokio::time::sleep(delay).await;
                 send_answer(stream, 200, &id, &extra_headers, &body).await?;
             }
+            Behavior::MisdirectAfter(delay) => {
+                send_answer(stream, 200, &id, &extra_headers, &body).await?;
+                tokio::time::sleep(delay).await;
+                stream.write_all(b"HTTP/1.1 421 -\r\ncontent-length: 0\r\n\r\n").await?;
+            }
+            Behavior::SendAndClose(bytes) => {
+                stream.write_all(&bytes).await?;
+                return Ok(false);
+            }
             Behavior::MisdirectAnother => send_answer(stream, 421, "another", "", b"").await?,
             Behavior::ResetUnframed => {
                 let head = format!(
@@ -444,9 +465,11 @@
                 stream.write_all(&body).await?;
                 return Ok(false);
             }
-            Behavior::Answer | Behavior::Shed | Behavior::ShedEndlessly | Behavior::Silent => {
-                send_answer(stream, 200, &id, &extra_headers, &body).await?
-            }
+            Behavior::Answer
+            | Behavior::Shed
+            | Behavior::ShedAgainAfter(_)
+            | Behavior::ShedEndlessly
+            | Behavior::Silent => send_answer(stream, 200, &id, &extra_headers, &body).await?,
         }
         Ok(true)
     }
