--- a/foxtail-entry/tests/versions.rs
+++ b/foxtail-entry/tests/versions.rs
@@ -1,5 +1,5 @@
-//! What hosts tell each other and store is read by hosts of the last landed version, 2515383, and the
-//! other way round.
+//! What hosts tell each other and store is read by hosts of earlier landed versions, 2515383 and c335ad7,
+//! and the other way round. Datagrams, facts and registrations are the same as those of c335ad7.
 
 use foxtail_entry::message::Message;
 use foxtail_entry::ports::{Fact, Facts};
@@ -18,6 +18,13 @@
     pub(super) const RELAYED: &str = r#"{"caller":"10.9.0.1","time_left":900,"service":"books","attempted":["u-1"],"may_have_run":true}"#;
 }
 
+/// What c335ad7 writes where it differs from 2515383, by its encoding.
+mod written_later {
+    pub(super) const RELAYED: &str = r#"{"caller":"10.9.0.1","time_left":900,"service":"books","attempted":["u-1"],"may_have_run":true,"wants_notices":true}"#;
+    /// With a leaving upstream behind the answers.
+    pub(super) const LEAVING: &str = "0103752d3301808099a7ab33";
+}
+
 /// The types with which 2515383 reads. Its encoding depends on the order of fields and variants.
 mod reads {
     use std::net::{IpAddr, SocketAddr};
@@ -42,7 +49,7 @@
         beats: Vec<(u32, u64, Phase, u16, bool)>,
         /// Request, upstream and age.
         pub(super) strikes: Vec<(u64, u64, u64)>,
-        reply: bool,
+        pub(super) reply: bool,
     }
 
     #[derive(Debug, Deserialize, PartialEq)]
@@ -136,6 +143,51 @@
     assert!(read.may_have_run);
 }
 
+#[test]
+fn relayed_requests_are_read_by_the_last_landed_version_which_takes_none_back() {
+    let written: RelayedRequest = serde_json::from_str(written_later::RELAYED).unwrap();
+    assert!(written.wants_notices);
+    assert_eq!(written.patience(), None, "it does not take the request back");
+    let sent = RelayedRequest { takes_back: true, ..written.clone() };
+    assert_eq!(sent.patience(), Some(Millis(225)));
+    let sent = serde_json::to_value(&sent).unwrap();
+    let mut known = serde_json::from_str::<serde_json::Value>(written_later::RELAYED).unwrap();
+    // It ignores the field that it does not know.
+    known["takes_back"] = true.into();
+    assert_eq!(sent, known);
+    // What it knows nothing of does not change the requests that hosts of this version hand on.
+    let unchanged = serde_json::to_value(&written).unwrap();
+    known["takes_back"] = false.into();
+    assert_eq!(unchanged, known);
+}
+
+#[test]
+fn datagrams_of_joining_hosts_and_news_are_read_by_the_last_landed_version() {
+    let record: HostRecord = serde_json::from_str(written::RECORD).unwrap();
+    let mut fleet = foxtail_steer::Fleet::new(record, Millis(0), Millis::secs(1_000));
+    let message = |digest| Message { digest, limits: Vec::new(), leaving: Some(Vec::new()) };
+    for (digest, reply) in [
+        (fleet.join_request(Millis(10)), true),
+        (fleet.own_digest(Millis(20)), false),
+        (fleet.reply(Millis(30)), false),
+    ] {
+        let bytes = message(digest).encode().unwrap();
+        let (read, limits, access, answers) = reads::message(&bytes);
+        assert_eq!(read.reply, reply);
+        assert_eq!((limits.len(), access, answers.len()), (0, vec![reads::Access::Available], 0));
+    }
+    // Its own message with a leaving upstream.
+    let mut bytes = bytes(written::MESSAGE);
+    let without = Message::decode(&bytes).unwrap();
+    bytes.extend(self::bytes(written_later::LEAVING));
+    let read = Message::decode(&bytes).unwrap();
+    assert_eq!((read.digest, read.limits), (without.digest, without.limits));
+    assert_eq!(
+        read.leaving.map(|leaving| leaving[0].upstream.as_str().to_owned()),
+        Some("u-3".into())
+    );
+}
+
 #[test]
 fn facts_and_registrations_are_the_same_in_both_versions() {
     let facts: Facts = postcard::from_bytes(&bytes(written::FACTS)).unwrap();
