test(entry): look-ups before a cut are compared once all hosts agree

It took a host that a look-up named 2 s after the start, when the host that was asked may not have heard yet that the last one serves; that one then takes the place of the host under test for good. It now waits until the look-ups of all three hosts agree; what is checked stays.

--- a/foxtail-entry/tests/cut_off.rs
+++ b/foxtail-entry/tests/cut_off.rs
@@ -36,8 +36,17 @@
         let site = CutSite::start(&["a1", "a2", "a1"]).await;
         let addrs: Vec<String> =
             site.hosts.iter().map(|host| host.settings().caller.to_string()).collect();
-        // Digests tell of hosts that have become ready.
-        tokio::time::sleep(Duration::from_secs(2)).await;
+        // Digests tell of hosts that have become ready. The host that is named before has to be one that
+        // is named again.
+        let named = async |host: usize| -> Vec<bool> {
+            let body = lookup_body(&site.hosts[host]).await;
+            addrs.iter().map(|addr| body.contains(addr)).collect()
+        };
+        until("the look-ups of all hosts agree", async || {
+            let first = named(0).await;
+            first == named(1).await && first == named(2).await
+        })
+        .await;
         let before = lookup_body(&site.hosts[1]).await;
         let host = (0..3).find(|n| before.contains(&addrs[*n])).expect("a host is named");
         site.cut_off(host, cut).await;
