fix(steer): requests are given up only while another attempt is allowed, after a quarter of their time

Cause: a host that took its upstreams for lost gave up after 0.5 s without an answer, which is less than the work of drill-log (4.8 s), and hosts in turn did so beyond max_attempts.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -39,9 +39,8 @@
     pub(crate) body: Bytes,
     /// When the attempt is abandoned.
     pub(crate) deadline: Millis,
-    /// How long the request waits without an answer from any upstream before it is handed back to the
-    /// host that relayed it, if one did.
-    pub(crate) relay_patience: Option<Millis>,
+    /// Whether another host relayed the request and takes it back.
+    pub(crate) goes_back: bool,
     /// What a host that relayed the request has to know.
     pub(crate) feedback: &'a RelayFeedback,
 }
@@ -130,12 +129,14 @@
 
 /// Sends the request to `up` and waits for the response until the deadline.
 ///
-/// `wait_ms` is the expected queueing time at the upstream, in milliseconds.
+/// `wait_ms` is the expected queueing time at the upstream, in milliseconds. `may_repeat` says whether the
+/// request may still be sent to another upstream.
 pub(crate) async fn attempt(
     cx: &Arc<HostContext>,
     up: &Upstream,
     fwd: &ForwardedRequest<'_>,
     wait_ms: f64,
+    may_repeat: bool,
 ) -> AttemptOutcome {
     let started = cx.now();
     let limited = {
@@ -158,7 +159,8 @@
         reported: false,
     };
     let left = fwd.deadline.since(started).duration();
-    let ended = tokio::time::timeout(left, send_while_answered(cx, up, fwd, &mut guard)).await;
+    let ended =
+        tokio::time::timeout(left, send_while_answered(cx, up, fwd, may_repeat, &mut guard)).await;
     match ended {
         Ok(Some(outcome)) => outcome,
         Ok(None) if guard.sent => {
@@ -182,12 +184,14 @@
     cx: &HostContext,
     up: &Upstream,
     fwd: &ForwardedRequest<'_>,
+    may_repeat: bool,
     guard: &mut AttemptGuard<'_>,
 ) -> Option<AttemptOutcome> {
     let waiting = WaitingRequest {
         sent_at: guard.started,
-        idempotent: fwd.route.idempotent,
-        relay_patience: fwd.relay_patience,
+        time_left: fwd.deadline.since(guard.started),
+        may_repeat,
+        goes_back: fwd.goes_back,
     };
     let mut sending = std::pin::pin!(send(cx, up, fwd, guard));
     loop {
--- a/foxtail-entry/src/past_attempts.rs
+++ b/foxtail-entry/src/past_attempts.rs
@@ -63,6 +63,11 @@
             && self.upstreams.len() < MAX_UPSTREAMS_PER_REQUEST
     }
 
+    /// Returns whether the request may be sent once more after an attempt that an upstream gets.
+    pub(crate) fn may_repeat_next(&self, route: &Route) -> bool {
+        route.idempotent && self.reached.len() + 1 < route.max_attempts as usize
+    }
+
     /// Returns the refusal for a request that is not retried: `reason` if no attempt may have run
     /// it, otherwise [`Reason::AnswerLost`].
     pub(crate) fn final_refusal(&self, reason: Reason, retry_after: Millis) -> Refusal {
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -235,7 +235,7 @@
         headers: &head.headers,
         body,
         deadline,
-        relay_patience: relayed.and_then(RelayedRequest::patience),
+        goes_back: relayed.is_some_and(|relayed| relayed.takes_back),
         feedback,
     };
     let hosts = cx.fleet.lock().hosts_sharing_budgets();
@@ -320,7 +320,8 @@
         request_log.attempts += 1;
         attempts.upstreams.push(up.id.clone());
         let sent_at = cx.now();
-        match attempt(cx, &up, &fwd, estimate.wait_ms).await {
+        let may_repeat = attempts.may_repeat_next(route);
+        match attempt(cx, &up, &fwd, estimate.wait_ms, may_repeat).await {
             AttemptOutcome::Answered(response) => {
                 // An upstream that fails may do so before it runs what crashes others.
                 if !response.status().is_server_error() {
@@ -340,7 +341,7 @@
             }
             AttemptOutcome::GivenUp => {
                 attempts.record(Outcome::Cancelled, true);
-                if route.idempotent
+                if may_repeat
                     && !cx.lifecycle.cut_off.is_cancelled()
                     && let Some(served) =
                         serve_elsewhere(cx, request_log, &fwd, &mut attempts, &origin).await
--- a/foxtail-steer/src/reachability.rs
+++ b/foxtail-steer/src/reachability.rs
@@ -46,9 +46,13 @@
 /// Longest time between two rounds of probes that count together.
 const MAX_ROUND_GAP: Millis = Millis(2_000);
 
-/// Time without an answer from any upstream after which a request that may be repeated is given up by a
-/// host that lost its upstreams. A shorter one would give up requests whose open connections work.
-const REPEATABLE_PATIENCE: Millis = Millis(500);
+/// The share of a request's time without an answer from any upstream after which a host whose links may be
+/// silent gives it up for another one. A quarter is longer than the work on most requests.
+const REPEATABLE_PATIENCE_DIVISOR: u64 = 4;
+
+/// The share of its time after which a request that can't be repeated is ended if the host lost its
+/// upstreams.
+const LAST_PATIENCE_DIVISOR: u64 = 2;
 
 /// How long a host has to have lost its upstreams before it ends a request that must not be repeated:
 /// two more rounds of probes went unanswered.
@@ -102,11 +106,12 @@
 pub struct WaitingRequest {
     /// When it was sent to the upstream.
     pub sent_at: Millis,
-    /// Whether it may be repeated.
-    pub idempotent: bool,
-    /// Time without an answer from any upstream after which the host that relayed it can do better, if it
-    /// was relayed.
-    pub relay_patience: Option<Millis>,
+    /// The time it had left then.
+    pub time_left: Millis,
+    /// Whether it may still be sent to another upstream.
+    pub may_repeat: bool,
+    /// Whether another host relayed it and takes it back.
+    pub goes_back: bool,
 }
 
 /// Whether a request waits on for an upstream's answer.
@@ -148,12 +153,13 @@
     /// not are ended once the loss is certain, since no answer will come.
     pub fn wait(&self, req: &WaitingRequest, now: Millis) -> Wait {
         let quiet_since = self.answered_at.map_or(req.sent_at, |at| at.max(req.sent_at));
-        let lost = self.lost_since.map(|lost_since| match req.idempotent {
-            true => quiet_since + REPEATABLE_PATIENCE,
-            false => (quiet_since + SILENCE).max(lost_since + CONFIRMED_LOSS),
+        let repeated_at = quiet_since + Millis(req.time_left.0 / REPEATABLE_PATIENCE_DIVISOR);
+        let ended_at = quiet_since + Millis(req.time_left.0 / LAST_PATIENCE_DIVISOR);
+        let lost = self.lost_since.map(|lost_since| match req.may_repeat {
+            true => repeated_at,
+            false => ended_at.max(lost_since + CONFIRMED_LOSS),
         });
-        let relayed =
-            req.relay_patience.filter(|_| req.idempotent).map(|patience| quiet_since + patience);
+        let relayed = (req.goes_back && req.may_repeat).then_some(repeated_at);
         match lost.into_iter().chain(relayed).min() {
             Some(end) if end <= now => Wait::GiveUp,
             end => Wait::Continue(end.map(|end| end.since(now))),
--- a/foxtail-steer/src/relay.rs
+++ b/foxtail-steer/src/relay.rs
@@ -15,11 +15,6 @@
 /// knowing it yet: of hosts of which a third has, one in 243 requests meets only such ones.
 pub const MAX_RELAY_OFFERS: usize = 5;
 
-/// The share of a relayed request's time after which the second host gives up a request that may be
-/// repeated, if no upstream answers it anything: a quarter, so that two such hosts in turn leave more
-/// than half of the time for a third one.
-const RELAY_PATIENCE_DIVISOR: u64 = 4;
-
 /// What the host that a request is relayed to has to know of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedRequest {
@@ -54,12 +49,6 @@
 }
 
 impl RelayedRequest {
-    /// Returns for how long the second host waits without an answer from any upstream, if the first one
-    /// takes the request back then.
-    pub fn patience(&self) -> Option<Millis> {
-        self.takes_back.then_some(Millis(self.time_left.0 / RELAY_PATIENCE_DIVISOR))
-    }
-
     /// Records what a host did that handed the request back.
     pub fn record_handed_back(&mut self, handed_back: HandedBack) {
         self.attempted = handed_back.attempted;
