feat(entry): log how long a host lacked a change, and why it judges that the store was out

`event=facts` has `behind_ms` now, `event=store_regained` has `silence_ms` and `unasked_ms`. No decision changes.

--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -57,6 +57,8 @@
     failing_since: Option<Millis>,
     /// When the store last answered this host.
     last_contact: Millis,
+    /// When the last call before the present one ended.
+    last_call: Millis,
     /// The pause after the next failed call, before jitter.
     pause: Millis,
     /// Until when removed registrations count as possibly lapsed.
@@ -76,6 +78,7 @@
         must_read_all: false,
         failing_since: None,
         last_contact: started,
+        last_call: started,
         pause: INITIAL_RETRY_PAUSE,
         lapsed_until: Millis::ZERO,
         read_again_at: None,
@@ -183,15 +186,20 @@
         self.pause = INITIAL_RETRY_PAUSE;
         let now = self.cx.now();
         if let Some(failing_since) = self.failing_since.take() {
-            let was_out = self.cx.store_news.lock().may_have_been_out(self.last_contact, now);
+            let (was_out, silence) = {
+                let news = self.cx.store_news.lock();
+                let last_contact = self.last_contact;
+                (news.may_have_been_out(last_contact, now), news.longest_silence(last_contact, now))
+            };
             if was_out {
                 self.lapsed_until = now + LAPSED_WINDOW;
             }
             self.cx.fleet.lock().set_store_lost(false);
             tracing::info!(event = "store_regained", area = ?self.area, for_all = was_out,
-                lost_ms = now.since(failing_since).0);
+                lost_ms = now.since(failing_since).0, silence_ms = silence.0,
+                unasked_ms = now.since(self.last_call).0);
         }
-        self.last_contact = now;
+        (self.last_contact, self.last_call) = (now, now);
     }
 
     /// Records the start of a store outage, and waits before the next call.
@@ -202,6 +210,7 @@
             self.failing_since = Some(self.cx.now());
             self.cx.fleet.lock().set_store_lost(true);
         }
+        self.last_call = self.cx.now();
         self.back_off().await;
     }
 
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -65,6 +65,16 @@
         }
     }
 
+    /// Records that this host knows `area` up to its present version, and returns for how long it lacked a
+    /// change that other hosts had, if it has all of them now.
+    fn catch_up(&mut self, area: Area, now: Millis) -> Option<Millis> {
+        match area {
+            Area::Operators => self.operator_pulls.catch_up(self.operators.read_version(), now),
+            Area::Upstreams => self.upstream_pulls.catch_up(self.upstreams.read_version(), now),
+            Area::Hosts => None,
+        }
+    }
+
     fn versions(&self) -> Versions {
         Versions { operators: self.operators.version(), upstreams: self.upstreams.version() }
     }
@@ -110,7 +120,7 @@
     pub(crate) fn apply_facts(&self, area: Area, facts: Facts, lapsed: bool, source: &str) -> bool {
         let now = self.now();
         let version = facts.version;
-        let (changed, versions) = {
+        let (changed, versions, behind) = {
             let mut store_replica = self.store_replica.lock();
             let Some(replica) = store_replica.area(area) else { return true };
             let known_version = replica.read_version();
@@ -127,11 +137,19 @@
             if source != STORE && replica.read_version() > known_version {
                 self.store_news.lock().record(now);
             }
-            (changed, store_replica.versions())
+            let behind = store_replica.catch_up(area, now);
+            (changed, store_replica.versions(), behind)
         };
         self.fleet.lock().set_versions(versions);
         if !changed.is_empty() {
-            tracing::info!(event = "facts", ?area, source, version, count = changed.len());
+            tracing::info!(
+                event = "facts",
+                ?area,
+                source,
+                version,
+                count = changed.len(),
+                behind_ms = behind.map(|behind| behind.0)
+            );
         }
         for fact in changed {
             self.apply_fact(fact, version, now);
--- a/foxtail-steer/src/pull_queue.rs
+++ b/foxtail-steer/src/pull_queue.rs
@@ -37,6 +37,10 @@
     /// The newest version that each host announced, if it is newer than the version that this host
     /// knows.
     announced: BTreeMap<SocketAddr, Announcement>,
+    /// The newest version that any host announced.
+    newest: u64,
+    /// Since when this host has known of a version that it lacks.
+    behind_since: Option<Millis>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,7 +76,14 @@
     /// Creates the queue of the host called `own`.
     pub fn new(own: &HostId) -> Self {
         let salt = rendezvous::hash(own.as_str());
-        Self { salt, in_progress: None, waiting: false, announced: BTreeMap::new() }
+        Self {
+            salt,
+            in_progress: None,
+            waiting: false,
+            announced: BTreeMap::new(),
+            newest: 0,
+            behind_since: None,
+        }
     }
 
     /// Records that the host at `from` announced `version` while this host knows version `known`.
@@ -84,6 +95,8 @@
         now: Millis,
     ) -> Step {
         if version > known {
+            self.newest = self.newest.max(version);
+            self.behind_since.get_or_insert(now);
             let announcement = Announcement { version, refusals: 0, not_before: now };
             let recorded = self.announced.entry(from).or_insert(announcement);
             recorded.version = recorded.version.max(version);
@@ -103,6 +116,20 @@
         self.next_step(known, now)
     }
 
+    /// Returns since when this host has known of a version that it lacks.
+    pub fn behind_since(&self) -> Option<Millis> {
+        self.behind_since
+    }
+
+    /// Records that this host knows version `known`, and returns for how long it lacked a change, if it now
+    /// has all that were announced to it.
+    pub fn catch_up(&mut self, known: u64, now: Millis) -> Option<Millis> {
+        if known < self.newest {
+            return None;
+        }
+        self.behind_since.take().map(|since| now.since(since))
+    }
+
     /// Continues after a [`Step::Wait`].
     pub fn resume(&mut self, known: u64, now: Millis) -> Step {
         self.waiting = false;
--- a/foxtail-steer/src/store_news.rs
+++ b/foxtail-steer/src/store_news.rs
@@ -40,14 +40,17 @@
     /// Returns whether the store may have been out for all between `last_contact`, when it last answered
     /// this host, and `now`, when it does again.
     pub fn may_have_been_out(&self, last_contact: Millis, now: Millis) -> bool {
+        self.longest_silence(last_contact, now) >= OUTAGE
+    }
+
+    /// Returns the longest time between `last_contact` and `now` in which no other host told of a change.
+    pub fn longest_silence(&self, last_contact: Millis, now: Millis) -> Millis {
         let news = self.0.iter().copied().filter(|at| (last_contact..=now).contains(at));
-        let mut previous = last_contact;
+        let (mut previous, mut longest) = (last_contact, Millis::ZERO);
         for at in news.chain([now]) {
-            if at.since(previous) >= OUTAGE {
-                return true;
-            }
+            longest = longest.max(at.since(previous));
             previous = at;
         }
-        false
+        longest
     }
 }
