test(entry): a calm after the store turned one host away keeps no removed upstream in use

Two hosts; the store turns the first one away (503, or calls that it holds and then cuts) while nothing changes for 4.5 s. 1.1 s after it takes the host back, two registrations are removed 50 ms apart, which the host is the first to read. Nothing may reach the upstreams later than 2.5 s after, the bound of small sites.

--- /dev/null
+++ b/foxtail-entry/tests/silence.rs
@@ -0,0 +1,161 @@
+//! Hosts use no upstream that left, though some of them can't reach the store, hear nothing from it or
+//! can't pull from other hosts; an outage for all hosts does not end an upstream.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{TestSite, exchange};
+use foxtail_entry::Host;
+use foxtail_standin::caller::Request;
+use foxtail_standin::store::Fault;
+use foxtail_standin::upstream::UpstreamServer;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// The time after which an upstream that left gets no new request, for small sites.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
+
+/// The time in which nothing changes in the store before an upstream leaves.
+const QUIET_TIME: Duration = Duration::from_millis(4_500);
+
+/// By when a host that the store turned away has asked it again.
+const RETRY_TIME: Duration = Duration::from_millis(1_100);
+
+/// The time between two requests to a host.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A caller of each host, which sends requests about different objects all the time.
+struct Callers {
+    ended: CancellationToken,
+    tasks: Vec<JoinHandle<Vec<u16>>>,
+}
+
+impl Callers {
+    fn start<'h>(hosts: impl IntoIterator<Item = &'h Host>) -> Self {
+        let ended = CancellationToken::new();
+        let addrs = hosts.into_iter().map(|host| host.settings().caller);
+        let call = |addr| {
+            let ended = ended.clone();
+            tokio::spawn(async move {
+                let mut failures = Vec::new();
+                for object in 0.. {
+                    if ended.is_cancelled() {
+                        break;
+                    }
+                    let timeout = Duration::from_secs(1);
+                    let (method, host, path) = ("GET", "svc.example", "/read/1");
+                    let req =
+                        Request { method, host, path, id: "probe", object, timeout, body: "" };
+                    let status = exchange(addr, &req.encode()).await.status;
+                    if status != 200 {
+                        failures.push(status);
+                    }
+                    sleep(REQUEST_INTERVAL).await;
+                }
+                failures
+            })
+        };
+        let tasks = addrs.map(call).collect();
+        Self { ended, tasks }
+    }
+
+    /// Ends all callers and returns the statuses of the requests that were not answered with 200.
+    async fn end(self) -> Vec<u16> {
+        self.ended.cancel();
+        let failures = futures::future::join_all(self.tasks).await;
+        failures.into_iter().flat_map(|failures| failures.expect("no panic")).collect()
+    }
+}
+
+/// An upstream of which something is removed from the store, and when.
+struct Leaving<'u> {
+    upstream: &'u UpstreamServer,
+    at: Instant,
+}
+
+impl<'u> Leaving<'u> {
+    /// Removes the registration of `upstream`, to which requests go until then.
+    fn unregister(site: &TestSite, upstream: &'u UpstreamServer) -> Self {
+        let leaving = Self::record(upstream);
+        site.store.delete_row("servers", upstream.id());
+        leaving
+    }
+
+    fn record(upstream: &'u UpstreamServer) -> Self {
+        let at = Instant::now();
+        let last = last_request(upstream).expect("the upstream is used before it leaves");
+        let unused = at.duration_since(last);
+        assert!(unused < Duration::from_millis(500), "not used for {unused:?} before it leaves");
+        Self { upstream, at }
+    }
+
+    /// Returns how long after it left the upstream got its last request.
+    fn last_request_after(&self) -> Duration {
+        let last = last_request(self.upstream).expect("the upstream was used");
+        last.saturating_duration_since(self.at)
+    }
+}
+
+fn last_request(upstream: &UpstreamServer) -> Option<Instant> {
+    upstream.received_requests().iter().filter_map(|request| request.received_at).max()
+}
+
+/// Removes the registrations of `first` and shortly after of `second`, and panics if any of them gets a
+/// request after [`DRAIN_BOUND`].
+///
+/// Hosts read the second removal later, since they wait for more changes after the first one.
+async fn assert_removals_take_effect(
+    site: &TestSite,
+    first: &UpstreamServer,
+    second: &UpstreamServer,
+) {
+    let first = Leaving::unregister(site, first);
+    sleep(Duration::from_millis(50)).await;
+    let second = Leaving::unregister(site, second);
+    sleep(DRAIN_BOUND + Duration::from_millis(1_500)).await;
+    let last = [first, second].map(|leaving| leaving.last_request_after());
+    assert!(
+        last.iter().all(|last| *last <= DRAIN_BOUND),
+        "requests went to upstreams up to {last:?} after their registration was removed"
+    );
+}
+
+/// Lets the store fail calls of the first of two hosts with `fault` for a while, in which nothing
+/// changes, and removes upstreams soon after, so that this host is the first to read it.
+async fn remove_upstreams_after_one_host_was_turned_away(fault: Fault) {
+    let site = TestSite::new();
+    site.configure(7);
+    let (first, second) = (site.upstream("up-1", "a1").await, site.upstream("up-2", "a1").await);
+    let changed = site.upstream("up-3", "a1").await;
+    let endpoints = [site.store_endpoint().await, site.store_endpoint().await];
+    let hosts = [
+        site.ready_host("h-1", "a1", &endpoints[0]).await,
+        site.ready_host("h-2", "a2", &endpoints[1]).await,
+    ];
+    sleep(Duration::from_secs(1)).await;
+    let callers = Callers::start(&hosts);
+    endpoints[0].set_fault(fault);
+    // A change ends the waiting long poll, so that the next call meets the fault.
+    site.store.put("servers", "up-3", &changed.registration("books", "a2", "ready", 0.0));
+    sleep(QUIET_TIME).await;
+    endpoints[0].set_fault(Fault::None);
+    sleep(RETRY_TIME).await;
+    endpoints[1].set_fault(Fault::Unavailable);
+    assert_removals_take_effect(&site, &first, &second).await;
+    callers.end().await;
+    for host in hosts {
+        host.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn upstream_removed_in_a_calm_after_one_host_was_turned_away_is_not_taken_for_lapsed() {
+    remove_upstreams_after_one_host_was_turned_away(Fault::Unavailable).await;
+}
+
+#[tokio::test]
+async fn upstream_removed_in_a_calm_after_one_host_heard_nothing_is_not_taken_for_lapsed() {
+    remove_upstreams_after_one_host_was_turned_away(Fault::Held).await;
+}
