test(entry): time in which a host did not ask the store is no outage

The last of three hosts reads the store in place of the first one, is turned away, and ceases to read once the first one is back. 5.6 s later the first host stops and the last one reads again, at once successfully. Two registrations are removed 1.1 s after that, 50 ms apart.

--- a/foxtail-entry/tests/silence.rs
+++ b/foxtail-entry/tests/silence.rs
@@ -5,11 +5,12 @@
 
 use std::time::{Duration, Instant};
 
-use common::{TestSite, exchange};
+use common::{TestSite, exchange, until};
 use foxtail_entry::Host;
 use foxtail_standin::caller::Request;
 use foxtail_standin::store::Fault;
 use foxtail_standin::upstream::UpstreamServer;
+use foxtail_steer::rendezvous;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -102,6 +103,14 @@
     upstream.received_requests().iter().filter_map(|request| request.received_at).max()
 }
 
+/// Returns names of hosts, those first which read the store for their region before the others.
+fn host_names(count: usize) -> Vec<String> {
+    let key = rendezvous::hash("readers");
+    let mut names: Vec<String> = (1..=count).map(|n| format!("h-{n}")).collect();
+    names.sort_by_key(|name| std::cmp::Reverse(rendezvous::weight(key, name)));
+    names
+}
+
 /// Removes the registrations of `first` and shortly after of `second`, and panics if any of them gets a
 /// request after [`DRAIN_BOUND`].
 ///
@@ -159,3 +168,43 @@
 async fn upstream_removed_in_a_calm_after_one_host_heard_nothing_is_not_taken_for_lapsed() {
     remove_upstreams_after_one_host_was_turned_away(Fault::Held).await;
 }
+
+#[tokio::test]
+async fn time_in_which_a_host_did_not_ask_the_store_is_not_taken_for_an_outage() {
+    let site = TestSite::new();
+    site.configure(7);
+    let (first, second) = (site.upstream("up-1", "a1").await, site.upstream("up-2", "a1").await);
+    let changed = site.upstream("up-3", "a1").await;
+    let (mut hosts, mut endpoints) = (Vec::new(), Vec::new());
+    for name in host_names(3) {
+        let endpoint = site.store_endpoint().await;
+        hosts.push(site.ready_host(&name, "a1", &endpoint).await);
+        endpoints.push(endpoint);
+    }
+    sleep(Duration::from_secs(1)).await;
+    // The last host reads the store in place of the first one, fails too, and ceases to read.
+    endpoints[0].set_fault(Fault::Unavailable);
+    endpoints[2].set_fault(Fault::Unavailable);
+    let feed_calls = || endpoints[2].call_counts().get("/rows-feed").copied().unwrap_or(0);
+    let before = feed_calls();
+    // A change ends the waiting long poll, so that the next call meets the fault.
+    site.store.put("servers", "up-3", &changed.registration("books", "a2", "ready", 0.0));
+    until("the last host reads the store", async || feed_calls() > before).await;
+    endpoints[0].set_fault(Fault::None);
+    sleep(QUIET_TIME).await;
+    endpoints[2].set_fault(Fault::None);
+    sleep(RETRY_TIME).await;
+
+    let ceased = feed_calls();
+    let leaving = tokio::spawn(hosts.remove(0).stop());
+    until("the last host reads the store again", async || feed_calls() > ceased).await;
+    let callers = Callers::start(&hosts);
+    sleep(RETRY_TIME).await;
+    endpoints[1].set_fault(Fault::Unavailable);
+    assert_removals_take_effect(&site, &first, &second).await;
+    callers.end().await;
+    leaving.await.expect("no panic");
+    for host in hosts {
+        host.stop().await;
+    }
+}
