--- a/foxtail-entry/tests/silence.rs
+++ b/foxtail-entry/tests/silence.rs
@@ -8,7 +8,7 @@
 use common::{TestSite, exchange, until};
 use foxtail_entry::Host;
 use foxtail_standin::caller::Request;
-use foxtail_standin::store::Fault;
+use foxtail_standin::store::{Fault, StoreEndpoint};
 use foxtail_standin::upstream::UpstreamServer;
 use foxtail_steer::rendezvous;
 use tokio::task::JoinHandle;
@@ -84,6 +84,14 @@
         leaving
     }
 
+    /// Registers `upstream`, to which requests go until then, as draining.
+    fn drain(site: &TestSite, upstream: &'u UpstreamServer) -> Self {
+        let leaving = Self::record(upstream);
+        let row = upstream.registration("books", "a1", "draining", 0.0);
+        site.store.put("servers", upstream.id(), &row);
+        leaving
+    }
+
     fn record(upstream: &'u UpstreamServer) -> Self {
         let at = Instant::now();
         let last = last_request(upstream).expect("the upstream is used before it leaves");
@@ -92,6 +100,13 @@
         Self { upstream, at }
     }
 
+    /// Waits for a while, and panics if the upstream gets a request later than [`DRAIN_BOUND`].
+    async fn assert_takes_effect(&self) {
+        sleep(DRAIN_BOUND + Duration::from_millis(2_000)).await;
+        let last = self.last_request_after();
+        assert!(last <= DRAIN_BOUND, "requests went to an upstream up to {last:?} after it left");
+    }
+
     /// Returns how long after it left the upstream got its last request.
     fn last_request_after(&self) -> Duration {
         let last = last_request(self.upstream).expect("the upstream was used");
@@ -208,3 +223,39 @@
         host.stop().await;
     }
 }
+
+/// Starts three hosts in region a and as many as `others` in region b, and lets the store swallow the
+/// calls of the readers of region a; then an upstream drains.
+async fn drain_upstream_while_readers_wait_in_vain(others: usize) {
+    let site = TestSite::new();
+    site.configure(7);
+    let draining = site.upstream("up-1", "a1").await;
+    let _kept = site.upstream("up-2", "a1").await;
+    let mut hosts: Vec<(Host, StoreEndpoint)> = Vec::new();
+    for (n, name) in host_names(3 + others).iter().enumerate() {
+        let endpoint = site.store_endpoint().await;
+        let zone = if n < 3 { "a1" } else { "b1" };
+        hosts.push((site.ready_host(name, zone, &endpoint).await, endpoint));
+    }
+    sleep(Duration::from_secs(2)).await;
+    let callers = Callers::start(hosts.iter().map(|(host, _)| host));
+    for (_, endpoint) in &hosts[..3] {
+        endpoint.swallow_waiting_calls();
+    }
+    sleep(QUIET_TIME).await;
+    Leaving::drain(&site, &draining).assert_takes_effect().await;
+    callers.end().await;
+    for (host, _) in hosts {
+        host.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn drain_is_seen_although_the_store_swallowed_the_calls_of_all_readers() {
+    drain_upstream_while_readers_wait_in_vain(0).await;
+}
+
+#[tokio::test]
+async fn drain_is_seen_although_the_store_swallowed_the_calls_of_all_readers_of_one_region() {
+    drain_upstream_while_readers_wait_in_vain(1).await;
+}
--- a/foxtail-standin/src/store/endpoint.rs
+++ b/foxtail-standin/src/store/endpoint.rs
@@ -72,6 +72,8 @@
     store: Arc<Store>,
     access: Access,
     fault: watch::Sender<Fault>,
+    /// How often the waiting calls of the feed were swallowed.
+    swallowed: watch::Sender<u64>,
     /// The mean number of transactions in 1,000 whose answer is lost.
     answer_loss_per_mille: AtomicU32,
     /// The buckets of writes and of reads, if rates are limited.
@@ -121,6 +123,7 @@
             store: Arc::clone(store),
             access,
             fault: watch::Sender::new(Fault::None),
+            swallowed: watch::Sender::new(0),
             answer_loss_per_mille: AtomicU32::new(0),
             rate_limits: Mutex::default(),
             call_counts: Mutex::default(),
@@ -143,6 +146,12 @@
         self.shared.fault.send_replace(fault);
     }
 
+    /// Lets the calls of the feed that wait now get no answer, while their connections stay open. Later
+    /// calls are not affected.
+    pub fn swallow_waiting_calls(&self) {
+        self.shared.swallowed.send_modify(|count| *count += 1);
+    }
+
     /// Makes on average `per_mille` of 1,000 transactions lose their answer after their execution.
     pub fn set_answer_loss_per_mille(&self, per_mille: u32) {
         self.shared.answer_loss_per_mille.store(per_mille, Ordering::Relaxed);
@@ -209,7 +218,13 @@
         let answer = match (&head.method, path.as_str()) {
             (&Method::POST, "/rows-tx") => self.transact(&body),
             (&Method::GET, "/rows-get") => self.read_range(&query),
-            (&Method::GET, "/rows-feed") => self.read_feed(&query).await,
+            (&Method::GET, "/rows-feed") => {
+                let mut swallowed = self.swallowed.subscribe();
+                tokio::select! {
+                    answer = self.read_feed(&query) => answer,
+                    _ = swallowed.changed() => std::future::pending().await,
+                }
+            }
             (method, path) => self.call_object(method, path, &head.headers, body),
         };
         self.apply_fault(false).await?;
