test(entry): a drain is seen by a host that can pull nothing from other hosts

The last of three hosts reaches the store and hears the readers' notices, and its connections to them deliver nothing or are refused.

--- a/foxtail-entry/tests/silence.rs
+++ b/foxtail-entry/tests/silence.rs
@@ -3,9 +3,10 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{TestSite, exchange, until};
+use common::{Cut, CutDial, TestSite, exchange, ready, until};
 use foxtail_entry::Host;
 use foxtail_standin::caller::Request;
 use foxtail_standin::store::{Fault, StoreEndpoint};
@@ -259,3 +260,42 @@
 async fn drain_is_seen_although_the_store_swallowed_the_calls_of_all_readers_of_one_region() {
     drain_upstream_while_readers_wait_in_vain(1).await;
 }
+
+/// Lets a host that reaches the store pull nothing from the readers of its region; then an upstream
+/// drains.
+async fn drain_upstream_while_a_host_pulls_nothing(cut: Cut) {
+    let site = TestSite::new();
+    site.configure(7);
+    let draining = site.upstream("up-1", "a1").await;
+    let _kept = site.upstream("up-2", "a1").await;
+    let mut hosts: Vec<(Host, StoreEndpoint)> = Vec::new();
+    let names = host_names(3);
+    for name in &names[..2] {
+        let endpoint = site.store_endpoint().await;
+        hosts.push((site.ready_host(name, "a1", &endpoint).await, endpoint));
+    }
+    let dial = CutDial::new(hosts.iter().map(|(host, _)| host.settings().peer));
+    let endpoint = site.store_endpoint().await;
+    let host = site.host_with_dial(&names[2], "a1", &endpoint, Arc::new(dial.clone())).await;
+    until("the host is ready", async || ready(&host).await).await;
+    hosts.push((host, endpoint));
+    sleep(Duration::from_secs(2)).await;
+    let callers = Callers::start(hosts.iter().map(|(host, _)| host));
+    dial.set(Some(cut));
+    sleep(QUIET_TIME).await;
+    Leaving::drain(&site, &draining).assert_takes_effect().await;
+    callers.end().await;
+    for (host, _) in hosts {
+        host.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn drain_is_seen_by_a_host_whose_pulls_stall() {
+    drain_upstream_while_a_host_pulls_nothing(Cut::Silent).await;
+}
+
+#[tokio::test]
+async fn drain_is_seen_by_a_host_whose_pulls_are_refused() {
+    drain_upstream_while_a_host_pulls_nothing(Cut::Reset).await;
+}
