test(entry): registrations that lapse in an outage of the store for all interrupt no service

Both hosts get no answers from the store for 5 s (503, or calls that are held and then cut), registrations of all upstreams are gone at its return, and come back 1.9 s later.

--- a/foxtail-entry/tests/silence.rs
+++ b/foxtail-entry/tests/silence.rs
@@ -299,3 +299,48 @@
 async fn drain_is_seen_by_a_host_whose_pulls_are_refused() {
     drain_upstream_while_a_host_pulls_nothing(Cut::Reset).await;
 }
+
+/// Lets the store fail all calls with `fault` for 5 s, in which registrations lapse; live upstreams
+/// register again within 2 s after.
+async fn lapse_registrations_in_an_outage(fault: Fault) {
+    let site = TestSite::new();
+    site.configure(7);
+    let ups = [site.upstream("up-1", "a1").await, site.upstream("up-2", "a1").await];
+    let endpoints = [site.store_endpoint().await, site.store_endpoint().await];
+    let hosts = [
+        site.ready_host("h-1", "a1", &endpoints[0]).await,
+        site.ready_host("h-2", "a1", &endpoints[1]).await,
+    ];
+    let set_fault = |fault| endpoints.iter().for_each(|endpoint| endpoint.set_fault(fault));
+    let register = |up: &UpstreamServer| {
+        site.store.put("servers", up.id(), &up.registration("books", "a1", "ready", 0.0));
+    };
+    sleep(Duration::from_secs(1)).await;
+    let callers = Callers::start(&hosts);
+    set_fault(fault);
+    // A change ends the waiting long polls, so that the next calls meet the fault.
+    register(&ups[0]);
+    sleep(Duration::from_secs(5)).await;
+    for up in &ups {
+        site.store.delete_row("servers", up.id());
+    }
+    set_fault(Fault::None);
+    sleep(Duration::from_millis(1_900)).await;
+    ups.iter().for_each(register);
+    sleep(Duration::from_secs(3)).await;
+    let failures = callers.end().await;
+    assert!(failures.is_empty(), "{} requests failed: {:?}", failures.len(), failures.first());
+    for host in hosts {
+        host.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn registrations_that_lapse_while_the_store_turns_all_away_interrupt_no_service() {
+    lapse_registrations_in_an_outage(Fault::Unavailable).await;
+}
+
+#[tokio::test]
+async fn registrations_that_lapse_while_the_store_answers_nobody_interrupt_no_service() {
+    lapse_registrations_in_an_outage(Fault::Held).await;
+}
