fix(steer): a view of the store has an age, and a host with an old one asks the store itself

Cause: nothing told a host when its view was last known to be the newest. A store that does not answer, a lost notice and a failed pull looked like a store without changes, for as long as they lasted.

Readers confirm at short intervals that there is nothing newer; confirmations travel with their age as news and with digests (behind the parts that earlier versions know). A host whose view is old, or which knows of a change and can't pull it, asks the store once: a few hosts of a region at first, each of them as the view becomes older, few again once the store is known to be out.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -95,7 +95,7 @@
         Self {
             steering: Mutex::new(Steering::new(settings.steering_options())),
             fleet: Mutex::new(Fleet::new(settings.record(), clock.now(), clock.wall())),
-            store_replica: Mutex::new(StoreReplica::new(&settings.host)),
+            store_replica: Mutex::new(StoreReplica::new(&settings.host, clock.now())),
             store_news: Mutex::default(),
             settings: Mutex::new(Arc::new(settings)),
             clock,
--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -1,11 +1,13 @@
 //! Follows the platform's store, for this host and for others of its region.
 //!
 //! A few hosts of each region read the store; the others learn from digests that there are changes
-//! and pull them from these hosts. A host reads the store if it is one of the chosen readers, or if
-//! it still has no facts of the area some time after its start.
+//! and pull them from these hosts. The first of them confirms at short intervals that there is nothing
+//! new. A host reads the store if it is one of the chosen readers, or if it still has no facts of the area
+//! some time after its start, and asks it once if its view is too old.
 
 use std::sync::Arc;
 
+use foxtail_steer::view_age::{Asking, Confirmation};
 use foxtail_types::prelude::*;
 use rand::Rng;
 
@@ -13,12 +15,18 @@
 use crate::knowledge::STORE;
 use crate::ports::{Area, Error, Fact, Facts};
 
-/// How long one call waits for a change in the store.
-const LONG_POLL_TIMEOUT: Millis = Millis::secs(20);
+/// How long a call waits for a change in the store if another reader confirms the view.
+const LONG_POLL_TIMEOUT: Millis = Millis::secs(3);
 
-/// How long a call waits for a change while the store fails. It is short, so that the end of an
-/// outage is noticed when the store returns, and not with the next change.
-const OUTAGE_POLL_TIMEOUT: Millis = Millis(10);
+/// How long a call of the reader that confirms the view of upstreams waits for a change.
+const UPSTREAMS_CONFIRM_INTERVAL: Millis = Millis(600);
+
+/// The same for the operators' area, whose changes may take longer.
+const OPERATORS_CONFIRM_INTERVAL: Millis = Millis(800);
+
+/// How long a call waits for a change while the store fails, or if this host only asks once. It is short,
+/// so that the end of an outage is noticed when the store returns, and not with the next change.
+const SHORT_POLL_TIMEOUT: Millis = Millis(10);
 
 /// The pause after a change, so that the next call returns several changes at once.
 const BATCH_DELAY: Millis = Millis(400);
@@ -91,12 +99,13 @@
         tokio::time::sleep(INITIAL_LISTEN.duration()).await;
         let mut reading = false;
         loop {
-            let reads = self.should_read();
+            let rank = self.reader_rank();
+            let reads = rank.is_some();
             if reads != reading {
                 tracing::info!(event = "reads_store", area = ?self.area, reads);
                 reading = reads;
             }
-            if !reads {
+            if !reads && !self.asks_once() {
                 tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
             } else if self.must_read_all
                 || self.cx.known_version(self.area) == 0
@@ -104,17 +113,49 @@
             {
                 self.read_all().await;
             } else {
-                self.read_changes().await;
+                self.read_changes(rank).await;
             }
         }
     }
 
-    /// Whether this host should read the store.
-    fn should_read(&self) -> bool {
+    /// Returns this host's place among the readers of the store, or `None` if it should not read it.
+    fn reader_rank(&self) -> Option<usize> {
         let now = self.cx.now();
+        let rank = self.cx.fleet.lock().reader_rank(now);
         let has_version = self.cx.known_version(self.area) > 0;
-        self.cx.fleet.lock().is_reader(now)
-            || (!has_version && now.since(self.started) > NO_UPDATE_TIMEOUT)
+        let is_unserved = !has_version && now.since(self.started) > NO_UPDATE_TIMEOUT;
+        rank.or(is_unserved.then_some(0))
+    }
+
+    /// Returns whether this host, which does not read the store, asks it now, since its view is too old.
+    fn asks_once(&self) -> bool {
+        let now = self.cx.now();
+        let asking = {
+            let fleet = self.cx.fleet.lock();
+            Asking {
+                hosts: fleet.alive_targets(now).len() + 1,
+                draw: rand::rng().random(),
+                store_may_be_out: fleet.store_may_be_out(now),
+            }
+        };
+        let asks = self.cx.store_replica.lock().asks(self.area, &asking, now);
+        if asks {
+            tracing::info!(event = "view_old", area = ?self.area,
+                age_ms = self.cx.view_age(self.area).0, version = self.cx.known_version(self.area));
+        }
+        asks
+    }
+
+    /// Returns for how long the next call of the reader with this `rank` waits for a change.
+    fn poll_timeout(&self, rank: Option<usize>, now: Millis) -> Millis {
+        let confirms = rank == Some(0) || self.cx.is_view_old(self.area);
+        let wait = match self.area {
+            _ if rank.is_none() || self.failing_since.is_some() => SHORT_POLL_TIMEOUT,
+            _ if !confirms => LONG_POLL_TIMEOUT,
+            Area::Upstreams => UPSTREAMS_CONFIRM_INTERVAL,
+            Area::Operators | Area::Hosts => OPERATORS_CONFIRM_INTERVAL,
+        };
+        self.read_again_at.map_or(wait, |at| wait.min(at.since(now)))
     }
 
     /// Reads all rows of the area.
@@ -146,17 +187,10 @@
     }
 
     /// Waits for changes and applies them.
-    async fn read_changes(&mut self) {
+    async fn read_changes(&mut self, rank: Option<usize>) {
         let call_started = self.cx.now();
         let version = self.cx.read_version(self.area);
-        let wait = match self.failing_since {
-            Some(_) => OUTAGE_POLL_TIMEOUT,
-            None => LONG_POLL_TIMEOUT,
-        };
-        let wait = match self.read_again_at {
-            Some(at) => wait.min(at.since(call_started)),
-            None => wait,
-        };
+        let wait = self.poll_timeout(rank, call_started);
         let changes = self.cx.store.changes(self.area, version, wait).await;
         self.record_call("changes", &changes, call_started);
         match changes {
@@ -166,7 +200,14 @@
                 if self.cx.now() < self.lapsed_until {
                     facts.facts.iter_mut().for_each(mark_lapsed);
                 }
-                self.cx.apply_facts(self.area, facts, false, STORE);
+                let is_current = self.cx.apply_facts(self.area, facts, false, STORE);
+                let waited_in_vain = !any_changes && self.cx.now().since(call_started) >= wait;
+                let at = if waited_in_vain { call_started + wait } else { call_started };
+                let version = self.cx.known_version(self.area);
+                // An answer from before what this host knows comes from a replica that lags behind.
+                if is_current {
+                    self.cx.confirm_view(self.area, Confirmation { version, at });
+                }
                 if any_changes {
                     self.cx.notify_peers.notify_one();
                     tokio::time::sleep(BATCH_DELAY.duration()).await;
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -11,6 +11,7 @@
 use foxtail_steer::news::NEWS_TARGETS;
 use foxtail_steer::pull_queue::{SOURCE_NOTICE_HOSTS, Step};
 use foxtail_steer::suspects::MAX_STRIKES;
+use foxtail_steer::view_age::{Confirmation, MESSAGE_DELAY};
 use foxtail_types::prelude::*;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::net::UdpSocket;
@@ -86,6 +87,16 @@
             cx.tasks.spawn(pull::pull(Arc::clone(cx), area, step));
         }
     }
+    if let Some(ages) = digest.ages {
+        for (area, version, age) in [
+            (Area::Operators, versions.operators, ages.operators),
+            (Area::Upstreams, versions.upstreams, ages.upstreams),
+        ] {
+            if let Some(age) = age {
+                cx.confirm_view(area, Confirmation { version, at: now - (age + MESSAGE_DELAY) });
+            }
+        }
+    }
     merge_strikes(cx, digest, now);
     let reply = {
         let mut fleet = cx.fleet.lock();
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -3,9 +3,10 @@
 
 use std::collections::BTreeMap;
 
-use foxtail_steer::PullQueue;
 use foxtail_steer::fleet::Versions;
 use foxtail_steer::pull_queue::Step;
+use foxtail_steer::view_age::{Asking, Confirmation, NEWS_STEP, Patience, ViewAges};
+use foxtail_steer::{PullQueue, ViewAge};
 use foxtail_types::prelude::*;
 
 use crate::context::HostContext;
@@ -26,18 +27,26 @@
     upstreams: AreaReplica,
     operator_pulls: PullQueue,
     upstream_pulls: PullQueue,
+    operator_view: ViewAge,
+    upstream_view: ViewAge,
+    /// The newest confirmation of the upstreams that other hosts were told of as news; that of the
+    /// operators' area goes along.
+    told: Option<Millis>,
     /// Upstreams whose registration may have lapsed, and when they are removed.
     lapsed: BTreeMap<UpstreamId, Millis>,
 }
 
 impl StoreReplica {
-    /// Creates the empty copy of the host called `own`.
-    pub(crate) fn new(own: &HostId) -> Self {
+    /// Creates the empty copy of the host called `own`, which starts at `now`.
+    pub(crate) fn new(own: &HostId, now: Millis) -> Self {
         Self {
             operators: AreaReplica::default(),
             upstreams: AreaReplica::default(),
             operator_pulls: PullQueue::new(own),
             upstream_pulls: PullQueue::new(own),
+            operator_view: ViewAge::new(Patience::OPERATORS, now),
+            upstream_view: ViewAge::new(Patience::UPSTREAMS, now),
+            told: None,
             lapsed: BTreeMap::new(),
         }
     }
@@ -65,14 +74,53 @@
         }
     }
 
-    /// Records that this host knows `area` up to its present version, and returns for how long it lacked a
-    /// change that other hosts had, if it has all of them now.
-    fn catch_up(&mut self, area: Area, now: Millis) -> Option<Millis> {
+    /// Records that this host knows `area` up to its present version, which the store itself told if it is
+    /// the `source`. Returns for how long the host lacked a change that other hosts had, if it has all of
+    /// them now.
+    fn catch_up(&mut self, area: Area, source: &str, now: Millis) -> Option<Millis> {
+        let (pulls, held) = match area {
+            Area::Operators => (&mut self.operator_pulls, self.operators.read_version()),
+            Area::Upstreams => (&mut self.upstream_pulls, self.upstreams.read_version()),
+            Area::Hosts => return None,
+        };
+        pulls.catch_up(held, source == STORE, now)
+    }
+
+    /// Returns how current the copy of `area` is.
+    pub(crate) fn view(&mut self, area: Area) -> Option<&mut ViewAge> {
         match area {
-            Area::Operators => self.operator_pulls.catch_up(self.operators.read_version(), now),
-            Area::Upstreams => self.upstream_pulls.catch_up(self.upstreams.read_version(), now),
+            Area::Operators => Some(&mut self.operator_view),
+            Area::Upstreams => Some(&mut self.upstream_view),
+            Area::Hosts => None,
+        }
+    }
+
+    /// Returns whether this host asks the store for changes of `area` now, since its copy is too old.
+    pub(crate) fn asks(&mut self, area: Area, asking: &Asking, now: Millis) -> bool {
+        let behind_since = match area {
+            Area::Operators => self.operator_pulls.behind_since(),
+            Area::Upstreams => self.upstream_pulls.behind_since(),
             Area::Hosts => None,
+        };
+        self.view(area).is_some_and(|view| view.asks(behind_since, asking, now))
+    }
+
+    fn confirmed_at(&self) -> ViewAges {
+        ViewAges {
+            operators: self.operator_view.confirmed_at(),
+            upstreams: self.upstream_view.confirmed_at(),
+        }
+    }
+
+    /// Returns whether the copy was confirmed anew, so that other hosts are told, and records that they are.
+    fn has_news(&mut self) -> bool {
+        let confirmed_at = self.upstream_view.confirmed_at();
+        let is_news =
+            confirmed_at.is_some_and(|at| self.told.is_none_or(|told| at >= told + NEWS_STEP));
+        if is_news {
+            self.told = confirmed_at;
         }
+        is_news
     }
 
     fn versions(&self) -> Versions {
@@ -106,6 +154,18 @@
         self.store_replica.lock().area(area).map_or(0, |replica| replica.read_version())
     }
 
+    /// Returns how long ago the view of `area` was known to lack nothing.
+    pub(crate) fn view_age(&self, area: Area) -> Millis {
+        let now = self.now();
+        self.store_replica.lock().view(area).map_or(Millis::ZERO, |view| view.age(now))
+    }
+
+    /// Returns whether the view of `area` is so old that it counts as unconfirmed.
+    pub(crate) fn is_view_old(&self, area: Area) -> bool {
+        let now = self.now();
+        self.store_replica.lock().view(area).is_some_and(|view| view.is_old(now))
+    }
+
     /// Returns whether the store was restored between the known version of `area` and `version`.
     pub(crate) fn is_restored_at(&self, area: Area, version: u64) -> bool {
         let mut store_replica = self.store_replica.lock();
@@ -120,7 +180,7 @@
     pub(crate) fn apply_facts(&self, area: Area, facts: Facts, lapsed: bool, source: &str) -> bool {
         let now = self.now();
         let version = facts.version;
-        let (changed, versions, behind) = {
+        let (changed, versions, confirmed_at, behind) = {
             let mut store_replica = self.store_replica.lock();
             let Some(replica) = store_replica.area(area) else { return true };
             let known_version = replica.read_version();
@@ -134,13 +194,17 @@
                 );
                 return false;
             };
-            if source != STORE && replica.read_version() > known_version {
+            let held = replica.read_version();
+            if source != STORE && held > known_version {
                 self.store_news.lock().record(now);
             }
-            let behind = store_replica.catch_up(area, now);
-            (changed, store_replica.versions(), behind)
+            if let Some(view) = store_replica.view(area) {
+                view.hold(held);
+            }
+            let behind = store_replica.catch_up(area, source, now);
+            (changed, store_replica.versions(), store_replica.confirmed_at(), behind)
         };
-        self.fleet.lock().set_versions(versions);
+        self.fleet.lock().set_view(versions, confirmed_at);
         if !changed.is_empty() {
             tracing::info!(
                 event = "facts",
@@ -167,6 +231,23 @@
         true
     }
 
+    /// Records that `area` had no change after the confirmed version at the confirmed time, as this host or
+    /// another one read, and tells other hosts.
+    pub(crate) fn confirm_view(&self, area: Area, confirmation: Confirmation) {
+        let is_news = {
+            let mut store_replica = self.store_replica.lock();
+            let held = store_replica.area(area).map_or(0, |replica| replica.read_version());
+            let Some(view) = store_replica.view(area) else { return };
+            view.confirm(confirmation, held);
+            let (versions, confirmed_at) = (store_replica.versions(), store_replica.confirmed_at());
+            self.fleet.lock().set_view(versions, confirmed_at);
+            store_replica.has_news()
+        };
+        if is_news {
+            self.add_news();
+        }
+    }
+
     /// Removes the upstreams whose registration did not return within [`LAPSED_GRACE`].
     pub(crate) fn remove_lapsed_upstreams(&self) {
         let now = self.now();
--- a/foxtail-entry/src/lookup.rs
+++ b/foxtail-entry/src/lookup.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 
 use crate::context::HostContext;
-use crate::ports::Lookup;
+use crate::ports::{Area, Lookup};
 use crate::refusal::text_response;
 
 /// How long the hosts for callers of a location are cached: hosts join and fail far less often than
@@ -122,6 +122,8 @@
         let (leaving, paused) = (steering.leaving_count(), steering.paused_count(now));
         (steering.upstream_count(), steering.named_limit_count(), leaving, paused)
     };
+    cx.metrics.set_view_age("operators", cx.view_age(Area::Operators));
+    cx.metrics.set_view_age("upstreams", cx.view_age(Area::Upstreams));
     cx.metrics.set_gauges(hosts, upstreams, strikes);
     cx.metrics.set_named_limits(named_limits);
     cx.metrics.set_noticed(leaving, paused);
--- a/foxtail-entry/src/message.rs
+++ b/foxtail-entry/src/message.rs
@@ -7,6 +7,7 @@
 use foxtail_steer::named_limit::LimitReport;
 use foxtail_steer::notice::LeavingUpstream;
 use foxtail_steer::suspects::ClearingAnswer;
+use foxtail_steer::view_age::ViewAges;
 use serde::de::DeserializeOwned;
 
 /// A digest and what is sent with it.
@@ -31,8 +32,10 @@
         let buf = postcard::to_extend(&self.limits, buf)?;
         let buf = postcard::to_extend(&self.digest.access, buf)?;
         let buf = postcard::to_extend(&self.digest.answers, buf)?;
-        match &self.leaving {
-            Some(leaving) => postcard::to_extend(leaving, buf),
+        let Some(leaving) = &self.leaving else { return Ok(buf) };
+        let buf = postcard::to_extend(leaving, buf)?;
+        match &self.digest.ages {
+            Some(ages) => postcard::to_extend(ages, buf),
             None => Ok(buf),
         }
     }
@@ -47,19 +50,24 @@
         let (limits, rest) = take_part::<Vec<LimitReport>>(rest)?;
         let (access, rest) = take_part::<Vec<UpstreamAccess>>(rest)?;
         let (answers, rest) = take_part::<Vec<ClearingAnswer>>(rest)?;
-        let leaving = match rest {
-            [] => None,
-            _ => Some(take_part::<Vec<LeavingUpstream>>(rest)?.0),
-        };
-        (digest.access, digest.answers) = (access, answers);
+        let (leaving, rest) = take_optional::<Vec<LeavingUpstream>>(rest)?;
+        let (ages, _) = take_optional::<ViewAges>(rest)?;
+        (digest.access, digest.answers, digest.ages) = (access, answers, ages);
         Ok(Self { digest, limits, leaving })
     }
 }
 
 /// Decodes the next part of a message, which is empty in a message of an earlier version.
 fn take_part<T: Default + DeserializeOwned>(bytes: &[u8]) -> postcard::Result<(T, &[u8])> {
+    let (part, rest) = take_optional(bytes)?;
+    Ok((part.unwrap_or_default(), rest))
+}
+
+/// Decodes the next part of a message, which is missing in a message of an earlier version.
+fn take_optional<T: DeserializeOwned>(bytes: &[u8]) -> postcard::Result<(Option<T>, &[u8])> {
     if bytes.is_empty() {
-        return Ok((T::default(), bytes));
+        return Ok((None, bytes));
     }
-    postcard::take_from_bytes(bytes)
+    let (part, rest) = postcard::take_from_bytes(bytes)?;
+    Ok((Some(part), rest))
 }
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -25,6 +25,7 @@
     connects: Counter<u64>,
     lookups: Counter<u64>,
     digests: Counter<u64>,
+    view_age: Gauge<u64>,
     hosts: Gauge<u64>,
     upstreams: Gauge<u64>,
     strikes: Gauge<u64>,
@@ -60,6 +61,10 @@
             connects: meter.u64_counter("upstream_connects_total").build(),
             lookups: meter.u64_counter("lookups_total").build(),
             digests: meter.u64_counter("digests_received_total").build(),
+            view_age: meter
+                .u64_gauge("view_age_milliseconds")
+                .with_description("how long ago the view of the store was known to lack nothing")
+                .build(),
             hosts: meter.u64_gauge("hosts_alive").build(),
             upstreams: meter.u64_gauge("upstreams_registered").build(),
             strikes: meter.u64_gauge("strikes_kept").build(),
@@ -166,6 +171,10 @@
         self.paused_upstreams.record(paused as u64, &[]);
     }
 
+    pub(crate) fn set_view_age(&self, area: &'static str, age: Millis) {
+        self.view_age.record(age.0, &[KeyValue::new("area", area)]);
+    }
+
     pub(crate) fn set_gauges(&self, hosts: usize, upstreams: usize, strikes: usize) {
         self.hosts.record(hosts as u64, &[]);
         self.upstreams.record(upstreams as u64, &[]);
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::rendezvous;
 use crate::suspects::{ClearingAnswer, Fingerprint, Strike, TrialTurn};
+use crate::view_age::ViewAges;
 
 /// Interval at which a host sends digests.
 pub const DIGEST_INTERVAL: Millis = Millis(400);
@@ -165,6 +166,9 @@
     pub from: HostRecord,
     /// Versions of the store's areas that the sender knows.
     pub versions: Versions,
+    /// How old its view of them is, or `None` from a host of an earlier version; encoded as `access` is.
+    #[serde(skip)]
+    pub ages: Option<ViewAges>,
     /// Heartbeats of the hosts that the sender knows, its own first.
     pub beats: Vec<Heartbeat>,
     /// Whether these hosts reach upstreams, in the order of `beats`. It is encoded behind the digest,
@@ -210,6 +214,8 @@
     /// start.
     beat_offset: u64,
     versions: Versions,
+    /// When this host's view of each area was last known to lack nothing.
+    confirmed_at: ViewAges,
     digests_sent: u64,
     /// The newest heartbeat of this host in another host's digest.
     echoed_beat: u64,
@@ -253,6 +259,7 @@
             keys_by_region,
             beat_offset,
             versions: Versions::default(),
+            confirmed_at: ViewAges::default(),
             digests_sent: 0,
             echoed_beat: 0,
             registrations_read: false,
@@ -366,9 +373,10 @@
         changed
     }
 
-    /// Sets the versions of the store's areas that this host knows.
-    pub fn set_versions(&mut self, versions: Versions) {
-        self.versions = versions;
+    /// Sets the versions of the store's areas that this host knows, and when it was last known that they
+    /// were the newest.
+    pub fn set_view(&mut self, versions: Versions, confirmed_at: ViewAges) {
+        (self.versions, self.confirmed_at) = (versions, confirmed_at);
     }
 
     /// Sets whether this host cannot reach the store.
@@ -376,6 +384,13 @@
         self.own_peer().store_lost = lost;
     }
 
+    /// Returns whether this host or another one of its region can't reach the store, as far as they say.
+    pub fn store_may_be_out(&self, now: Millis) -> bool {
+        let region = &self.own_record().region;
+        let mut local = self.peers.values().filter(|peer| peer.record.region == *region);
+        local.any(|peer| peer.store_lost && is_alive(peer, region, now))
+    }
+
     /// Returns whether this host cannot reach the store.
     pub fn store_lost(&self) -> bool {
         self.peers[&host_key(&self.own_id)].store_lost
@@ -444,6 +459,12 @@
 
     /// Returns whether this host reads the store for its region.
     pub fn is_reader(&self, now: Millis) -> bool {
+        self.reader_rank(now).is_some()
+    }
+
+    /// Returns this host's place among the hosts that read the store for its region, from 0 on, or `None`
+    /// if it is none of them.
+    pub fn reader_rank(&self, now: Millis) -> Option<usize> {
         let region = &self.own_record().region;
         let is_candidate = |peer: &&Peer| {
             let is_self = peer.record.id == self.own_id;
@@ -455,14 +476,15 @@
         let own = &self.peers[&host_key(&self.own_id)];
         let higher_ranked =
             self.peers.values().filter(is_candidate).filter(|peer| weight(peer) > weight(own));
-        higher_ranked.count() < READERS_PER_REGION
+        Some(higher_ranked.count()).filter(|rank| *rank < READERS_PER_REGION)
     }
 
     /// Returns this host's digest at `now` for a host of its own region.
     pub fn digest(&mut self, now: Millis) -> Digest {
         self.digests_sent += 1;
         let all_regions = self.digests_sent.is_multiple_of(DIGESTS_PER_FULL_DIGEST);
-        self.build_digest(now, false, all_regions)
+        let region = self.own_record().region.clone();
+        self.build_digest(now, |peer| all_regions || peer.record.region == region)
     }
 
     /// Returns a digest that covers only this host and requests one in return.
@@ -473,20 +495,18 @@
     /// Returns a digest for a host that asked for one. It covers all regions: a starting host may need
     /// hosts of other ones at once.
     pub fn reply(&mut self, now: Millis) -> Digest {
-        self.build_digest(now, false, true)
+        self.build_digest(now, |_| true)
     }
 
     /// Returns a digest that covers only the hosts of this region, for a host of another region.
     pub fn regional_digest(&mut self, now: Millis) -> Digest {
-        self.build_digest(now, false, false)
+        let region = self.own_record().region.clone();
+        self.build_digest(now, |peer| peer.record.region == region)
     }
 
     /// Returns a digest that covers only this host.
     pub fn own_digest(&mut self, now: Millis) -> Digest {
-        let mut digest = self.build_digest(now, false, false);
-        digest.beats.truncate(1);
-        digest.access.truncate(1);
-        digest
+        self.build_digest(now, |_| false)
     }
 
     /// Raises this host's own heartbeat. A host without others to send digests to stays alive by it.
@@ -497,13 +517,13 @@
         own.heartbeat_at = Some(now);
     }
 
-    fn build_digest(&mut self, now: Millis, reply: bool, all_regions: bool) -> Digest {
+    /// Returns a digest of this host and of those others that are alive and `included`.
+    fn build_digest(&mut self, now: Millis, included: impl Fn(&Peer) -> bool) -> Digest {
         self.beat(now);
         let from = self.own_record().clone();
         let own_key = host_key(&from.id);
         let others = self.peers.iter().filter(|(key, peer)| {
-            let included = all_regions || peer.record.region == from.region;
-            **key != own_key && included && is_alive(peer, &from.region, now)
+            **key != own_key && included(peer) && is_alive(peer, &from.region, now)
         });
         let own = self.peers.get_key_value(&own_key);
         let (beats, access) = own
@@ -514,14 +534,20 @@
                 (Heartbeat { host: *key, beat, phase, rate, store_lost }, access)
             })
             .unzip();
+        let age = |confirmed_at: Option<Millis>| confirmed_at.map(|at| now.since(at));
+        let ages = ViewAges {
+            operators: age(self.confirmed_at.operators),
+            upstreams: age(self.confirmed_at.upstreams),
+        };
         Digest {
             from,
             versions: self.versions,
+            ages: Some(ages),
             beats,
             access,
             strikes: Vec::new(),
             answers: Vec::new(),
-            reply,
+            reply: false,
         }
     }
 
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod unconfirmed;
 pub mod upstream;
 mod upstream_state;
+pub mod view_age;
 
 pub use config::{Config, Route};
 pub use fleet::Fleet;
@@ -48,3 +49,4 @@
 pub use transfer_limit::TransferLimit;
 pub use unconfirmed::UnconfirmedStrikes;
 pub use upstream::Upstream;
+pub use view_age::ViewAge;
--- a/foxtail-steer/src/pull_queue.rs
+++ b/foxtail-steer/src/pull_queue.rs
@@ -122,11 +122,12 @@
     }
 
     /// Records that this host knows version `known`, and returns for how long it lacked a change, if it now
-    /// has all that were announced to it.
-    pub fn catch_up(&mut self, known: u64, now: Millis) -> Option<Millis> {
-        if known < self.newest {
+    /// has all that were announced to it, or has `read_store`, whose word goes before announcements.
+    pub fn catch_up(&mut self, known: u64, read_store: bool, now: Millis) -> Option<Millis> {
+        if known < self.newest && !read_store {
             return None;
         }
+        self.newest = known;
         self.behind_since.take().map(|since| now.since(since))
     }
 
