fix(entry): a calm is no outage of the store, and a host's verdict on one is checked by others

What callers saw: requests at upstreams that were removed 2.5 to 3.4 s before, soon after the store had turned a host away.

It kept what was removed next for 2.2 s more, and hosts of all regions believed it.

Confirmations that the store answered anybody count now, whether or not there was news, and each answer is judged, not only one after failed calls. A host that ceases to read forgets that its calls failed. What another host says has lapsed counts as removed if the own evidence shows that the store worked. A reader's call that waits beside a confirming one ends before the store counts as out.

--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -12,11 +12,12 @@
 use rand::Rng;
 
 use crate::context::HostContext;
-use crate::knowledge::STORE;
+use crate::knowledge::{LAPSE_MEMORY, STORE};
 use crate::ports::{Area, Error, Fact, Facts};
 
-/// How long a call waits for a change in the store if another reader confirms the view.
-const LONG_POLL_TIMEOUT: Millis = Millis::secs(3);
+/// How long a call waits for a change in the store if another reader confirms the view. If that one fails,
+/// the end of the call confirms it before the store counts as out.
+const LONG_POLL_TIMEOUT: Millis = Millis(1_500);
 
 /// How long a call of the reader that confirms the view of upstreams waits for a change.
 const UPSTREAMS_CONFIRM_INTERVAL: Millis = Millis(600);
@@ -104,9 +105,10 @@
             if reads != reading {
                 tracing::info!(event = "reads_store", area = ?self.area, reads);
                 reading = reads;
+                self.forget_failures();
             }
             if !reads && !self.asks_once() {
-                tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
+                self.wait_to_ask().await;
             } else if self.must_read_all
                 || self.cx.known_version(self.area) == 0
                 || self.read_again_at.is_some_and(|at| at <= self.cx.now())
@@ -127,6 +129,14 @@
         rank.or(is_unserved.then_some(0))
     }
 
+    /// Forgets that calls failed. A host that no longer reads does not know whether they still would.
+    fn forget_failures(&mut self) {
+        self.pause = INITIAL_RETRY_PAUSE;
+        if self.failing_since.take().is_some() {
+            self.cx.fleet.lock().set_store_lost(false);
+        }
+    }
+
     /// Returns whether this host, which does not read the store, asks it now, since its view is too old.
     fn asks_once(&self) -> bool {
         let now = self.cx.now();
@@ -146,6 +156,14 @@
         asks
     }
 
+    /// Waits until it is time to decide anew whether to ask the store.
+    async fn wait_to_ask(&mut self) {
+        if !self.cx.is_view_old(self.area) {
+            self.forget_failures();
+        }
+        tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
+    }
+
     /// Returns for how long the next call of the reader with this `rank` waits for a change.
     fn poll_timeout(&self, rank: Option<usize>, now: Millis) -> Millis {
         let confirms = rank == Some(0) || self.cx.is_view_old(self.area);
@@ -226,15 +244,13 @@
     fn record_success(&mut self) {
         self.pause = INITIAL_RETRY_PAUSE;
         let now = self.cx.now();
+        let since = self.last_contact.max(now - LAPSE_MEMORY);
+        let silence = self.cx.store_news.lock().longest_silence(since, now);
+        let was_out = self.cx.store_news.lock().may_have_been_out(since, now);
+        if was_out {
+            self.lapsed_until = now + LAPSED_WINDOW;
+        }
         if let Some(failing_since) = self.failing_since.take() {
-            let (was_out, silence) = {
-                let news = self.cx.store_news.lock();
-                let last_contact = self.last_contact;
-                (news.may_have_been_out(last_contact, now), news.longest_silence(last_contact, now))
-            };
-            if was_out {
-                self.lapsed_until = now + LAPSED_WINDOW;
-            }
             self.cx.fleet.lock().set_store_lost(false);
             tracing::info!(event = "store_regained", area = ?self.area, for_all = was_out,
                 lost_ms = now.since(failing_since).0, silence_ms = silence.0,
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -17,6 +17,10 @@
 /// upstream registers again within this time after the store's return.
 const LAPSED_GRACE: Millis = Millis(2_200);
 
+/// How far back an outage of the store may have lapsed registrations that are missing now: they lapse within
+/// seconds, and return within [`LAPSED_GRACE`].
+pub(crate) const LAPSE_MEMORY: Millis = Millis::secs(10);
+
 /// The source of facts that this host read itself.
 pub(crate) const STORE: &str = "store";
 
@@ -180,10 +184,13 @@
     pub(crate) fn apply_facts(&self, area: Area, facts: Facts, lapsed: bool, source: &str) -> bool {
         let now = self.now();
         let version = facts.version;
+        // Another host may take a fault of its own for an outage of the store.
+        let may_have_lapsed = source == STORE
+            || self.is_restored_at(area, version)
+            || self.store_news.lock().may_have_been_out(now - LAPSE_MEMORY, now);
         let (changed, versions, confirmed_at, behind) = {
             let mut store_replica = self.store_replica.lock();
             let Some(replica) = store_replica.area(area) else { return true };
-            let known_version = replica.read_version();
             let Some(changed) = replica.apply(facts, lapsed, now) else {
                 tracing::info!(
                     event = "facts_older",
@@ -195,9 +202,6 @@
                 return false;
             };
             let held = replica.read_version();
-            if source != STORE && held > known_version {
-                self.store_news.lock().record(now);
-            }
             if let Some(view) = store_replica.view(area) {
                 view.hold(held);
             }
@@ -215,7 +219,10 @@
                 behind_ms = behind.map(|behind| behind.0)
             );
         }
-        for fact in changed {
+        for mut fact in changed {
+            if let Fact::UpstreamGone { lapsed, .. } = &mut fact {
+                *lapsed &= may_have_lapsed;
+            }
             self.apply_fact(fact, version, now);
         }
         let complete = match area {
@@ -234,6 +241,9 @@
     /// Records that `area` had no change after the confirmed version at the confirmed time, as this host or
     /// another one read, and tells other hosts.
     pub(crate) fn confirm_view(&self, area: Area, confirmation: Confirmation) {
+        if area == Area::Upstreams {
+            self.store_news.lock().record(confirmation.at);
+        }
         let is_news = {
             let mut store_replica = self.store_replica.lock();
             let held = store_replica.area(area).map_or(0, |replica| replica.read_version());
--- a/foxtail-steer/src/store_news.rs
+++ b/foxtail-steer/src/store_news.rs
@@ -3,54 +3,69 @@
 //! The load that this answers: a host's calls to the store fail while the store serves other hosts and
 //! the upstreams. Registrations that vanish at the end of an outage of the whole store may have lapsed
 //! during it, and are kept for a while; those that vanish while the store worked for others belong to
-//! upstreams that leave, and must get nothing more. Other hosts that go on telling of changes show that
-//! the store works.
+//! upstreams that leave, and must get nothing more. That the store answered anybody shows that it works,
+//! whether or not there was anything new. Time in which this host did not run shows nothing.
 
 use std::collections::VecDeque;
 
 use foxtail_types::prelude::*;
 
-/// Time without any contact with the store, by this host or another one, after which registrations may
-/// have lapsed. Upstreams renew theirs every 1.5 s, and they lapse after three such intervals without
+/// Time in which the store answered neither this host nor another one after which registrations may have
+/// lapsed. Upstreams renew theirs every 1.5 s, and they lapse after three such intervals without
 /// success, so that a shorter outage lapses none.
 const OUTAGE: Millis = Millis::secs(3);
 
-/// Changes closer to each other than this are recorded as one, to bound the memory.
+/// Signs closer to each other than this are recorded as one, to bound the memory.
 const RESOLUTION: Millis = Millis(100);
 
-/// Most changes that are recorded; they cover a minute at least.
+/// Most signs that are recorded; they cover a minute at least.
 const MAX_RECORDED: usize = 600;
 
-/// When other hosts told of changes in the store, the oldest first.
+/// When the store answered other hosts, the oldest first.
 #[derive(Debug, Default)]
-pub struct StoreNews(VecDeque<Millis>);
+pub struct StoreNews(VecDeque<Sign>);
+
+/// A time for which nothing speaks for an outage.
+#[derive(Clone, Copy, Debug)]
+struct Sign {
+    from: Millis,
+    to: Millis,
+}
 
 impl StoreNews {
-    /// Records that another host told of a change that this host did not know.
-    pub fn record(&mut self, now: Millis) {
-        if self.0.back().is_some_and(|last| now.since(*last) < RESOLUTION) {
-            return;
+    /// Records that the store answered another host at `at`.
+    pub fn record(&mut self, at: Millis) {
+        if self.0.back().is_none_or(|last| last.to + RESOLUTION <= at) {
+            self.push(Sign { from: at, to: at });
         }
+    }
+
+    /// Records that this host did not run between `from` and `to`.
+    pub fn record_suspension(&mut self, from: Millis, to: Millis) {
+        let from = self.0.back().map_or(from, |last| last.to.max(from));
+        self.push(Sign { from, to: to.max(from) });
+    }
+
+    fn push(&mut self, sign: Sign) {
         if self.0.len() == MAX_RECORDED {
             self.0.pop_front();
         }
-        self.0.push_back(now);
+        self.0.push_back(sign);
     }
 
-    /// Returns whether the store may have been out for all between `last_contact`, when it last answered
-    /// this host, and `now`, when it does again.
-    pub fn may_have_been_out(&self, last_contact: Millis, now: Millis) -> bool {
-        self.longest_silence(last_contact, now) >= OUTAGE
+    /// Returns whether the store may have been out for all between `since`, when it was known to work or
+    /// this host began to listen, and `now`.
+    pub fn may_have_been_out(&self, since: Millis, now: Millis) -> bool {
+        self.longest_silence(since, now) >= OUTAGE
     }
 
-    /// Returns the longest time between `last_contact` and `now` in which no other host told of a change.
-    pub fn longest_silence(&self, last_contact: Millis, now: Millis) -> Millis {
-        let news = self.0.iter().copied().filter(|at| (last_contact..=now).contains(at));
-        let (mut previous, mut longest) = (last_contact, Millis::ZERO);
-        for at in news.chain([now]) {
-            longest = longest.max(at.since(previous));
-            previous = at;
+    /// Returns the longest time between `since` and `now` in which the store is not known to have worked.
+    pub fn longest_silence(&self, since: Millis, now: Millis) -> Millis {
+        let (mut previous, mut longest) = (since, Millis::ZERO);
+        for sign in self.0.iter().filter(|sign| sign.to >= since && sign.from <= now) {
+            longest = longest.max(sign.from.since(previous));
+            previous = previous.max(sign.to);
         }
-        longest
+        longest.max(now.since(previous))
     }
 }
