fix(steer): a removal that is told again does not restart the time for which an upstream is kept

Cause: rows carry the version of the batch in which a host read them, so that a host pulls a removal once more from one that read it in a later batch. Each telling set the end of the grace time anew.

The grace time is code without I/O now, with the test removal_that_is_told_again_does_not_restart_the_time_for_which_the_upstream_is_kept, which fails if the second telling replaces the first.

--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -1,24 +1,18 @@
 //! The host's copy of the store. Applies facts to steering and fleet, whether this host read them
 //! from the store or pulled them from another host.
 
-use std::collections::BTreeMap;
-
 use foxtail_steer::fleet::Versions;
 use foxtail_steer::pull_queue::Step;
 use foxtail_steer::view_age::{Asking, Confirmation, NEWS_STEP, Patience, ViewAges};
-use foxtail_steer::{PullQueue, ViewAge};
+use foxtail_steer::{LapsedUpstreams, PullQueue, ViewAge};
 use foxtail_types::prelude::*;
 
 use crate::context::HostContext;
 use crate::ports::{Area, Fact, Facts};
 use crate::replica::AreaReplica;
 
-/// How long an upstream is kept whose registration may have lapsed during a store outage: a live
-/// upstream registers again within this time after the store's return.
-const LAPSED_GRACE: Millis = Millis(2_200);
-
 /// How far back an outage of the store may have lapsed registrations that are missing now: they lapse within
-/// seconds, and return within [`LAPSED_GRACE`].
+/// seconds, and return within two more.
 pub(crate) const LAPSE_MEMORY: Millis = Millis::secs(10);
 
 /// The source of facts that this host read itself.
@@ -36,8 +30,7 @@
     /// The newest confirmation of the upstreams that other hosts were told of as news; that of the
     /// operators' area goes along.
     told: Option<Millis>,
-    /// Upstreams whose registration may have lapsed, and when they are removed.
-    lapsed: BTreeMap<UpstreamId, Millis>,
+    lapsed: LapsedUpstreams,
 }
 
 impl StoreReplica {
@@ -51,7 +44,7 @@
             operator_view: ViewAge::new(Patience::OPERATORS, now),
             upstream_view: ViewAge::new(Patience::UPSTREAMS, now),
             told: None,
-            lapsed: BTreeMap::new(),
+            lapsed: LapsedUpstreams::default(),
         }
     }
 
@@ -130,20 +123,6 @@
     fn versions(&self) -> Versions {
         Versions { operators: self.operators.version(), upstreams: self.upstreams.version() }
     }
-
-    /// Removes and returns the upstreams whose time in `lapsed` has expired.
-    fn take_expired(&mut self, now: Millis) -> Vec<UpstreamId> {
-        let expired: Vec<UpstreamId> = self
-            .lapsed
-            .iter()
-            .filter(|&(_, expires)| *expires <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &expired {
-            self.lapsed.remove(id);
-        }
-        expired
-    }
 }
 
 impl HostContext {
@@ -258,10 +237,10 @@
         }
     }
 
-    /// Removes the upstreams whose registration did not return within [`LAPSED_GRACE`].
+    /// Removes the upstreams whose registration did not return in time after an outage.
     pub(crate) fn remove_lapsed_upstreams(&self) {
         let now = self.now();
-        let expired = self.store_replica.lock().take_expired(now);
+        let expired = self.store_replica.lock().lapsed.take_expired(now);
         for id in expired {
             tracing::info!(event = "upstream_gone", upstream = %id, lapsed = true);
             self.remove_upstream(&id);
@@ -287,14 +266,15 @@
             Fact::Upstream(up) => {
                 tracing::info!(event = "upstream", upstream = %up.id, service = %up.service,
                     zone = %up.zone, draining = up.draining, cold_ms = up.cold_for.0, version);
-                self.store_replica.lock().lapsed.remove(&up.id);
+                self.store_replica.lock().lapsed.forget(&up.id);
                 self.steering.lock().set_upstream(up, now);
             }
             Fact::UpstreamGone { id, lapsed } => {
                 tracing::info!(event = "upstream_gone", upstream = %id, kept = lapsed, version);
                 if lapsed {
-                    self.store_replica.lock().lapsed.insert(id, now + LAPSED_GRACE);
+                    self.store_replica.lock().lapsed.record(id, now);
                 } else {
+                    self.store_replica.lock().lapsed.forget(&id);
                     self.remove_upstream(&id);
                 }
             }
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 mod estimate;
 pub mod fleet;
+pub mod lapsed;
 pub mod limited_sending;
 pub mod named_limit;
 pub mod news;
@@ -34,6 +35,7 @@
 
 pub use config::{Config, Route};
 pub use fleet::Fleet;
+pub use lapsed::LapsedUpstreams;
 pub use named_limit::RateLimit;
 pub use news::NewsPacer;
 pub use notice::Notice;
