fix(entry): requests wait for a newer view after a suspension before they are sent

What callers may have seen: a host that was suspended, or got no processor for seconds, goes on with its view of before, and sends requests to upstreams that left meanwhile until its first pull.

A view of upstreams that was not confirmed for 2 s holds requests, right before they are sent, for 0.2 s at most, and the host asks the store at once. If hosts say that they can't reach the store, nothing waits: then no host has a newer view. Time in which a host did not run is no silence of the store.

Evidence: by the code and without I/O (foxtail-steer/tests/view_age.rs). Not reproduced with a process that is stopped by a signal; hosts that were frozen are not in touch for the platform's rules.

--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -226,6 +226,7 @@
             }
         },
     };
+    cx.hold_for_view().await;
     let now = cx.now();
     if fwd.deadline <= now || !cx.steering.lock().may_still_send(&up.id, now) {
         // The connection took long, or the process was paused.
--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -50,6 +50,10 @@
     pub(crate) news_added: Notify,
     /// Wakes the task that informs other hosts, because this host can serve a large change to them.
     pub(crate) announce_source: Notify,
+    /// Wakes the requests that wait for a newer view of the upstreams.
+    pub(crate) view_confirmed: Notify,
+    /// Wakes the tasks that ask the store, because requests wait for a newer view.
+    pub(crate) view_old: Notify,
     /// Tasks that answer other hosts, pull from them or remove registrations.
     pub(crate) tasks: TaskTracker,
     pub(crate) pool: Pool<UpstreamId>,
@@ -111,6 +115,8 @@
             news: Mutex::default(),
             news_added: Notify::new(),
             announce_source: Notify::new(),
+            view_confirmed: Notify::new(),
+            view_old: Notify::new(),
             tasks: TaskTracker::new(),
             pool: Pool::new(Arc::clone(&dial)),
             relay_pool: Pool::new(Arc::clone(&dial)),
--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -161,7 +161,10 @@
         if !self.cx.is_view_old(self.area) {
             self.forget_failures();
         }
-        tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
+        tokio::select! {
+            () = tokio::time::sleep(READER_CHECK_INTERVAL.duration()) => {}
+            () = self.cx.view_old.notified() => {}
+        }
     }
 
     /// Returns for how long the next call of the reader with this `rank` waits for a change.
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -28,6 +28,9 @@
 /// The weight of the latest period in the moving average of the request rate.
 const RATE_SMOOTHING: f64 = 0.3;
 
+/// The delay of a tick from which the host counts as suspended.
+const MIN_SUSPENSION: Millis = Millis(1_000);
+
 /// The interval between clean-ups of the registrations of hosts that are gone.
 const CLEANUP_INTERVAL: Millis = Millis::secs(60);
 
@@ -185,6 +188,9 @@
             last_cleanup = now;
             remove_gone_hosts(&cx, now);
         }
+        if now.since(last_tick) > DIGEST_INTERVAL + MIN_SUSPENSION {
+            cx.record_suspension(last_tick, now);
+        }
         let requests = cx.requests.load(Ordering::Relaxed);
         let elapsed_s = now.since(last_tick).as_secs_f64();
         if elapsed_s > 0.0 {
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -233,10 +233,40 @@
             store_replica.has_news()
         };
         if is_news {
+            self.view_confirmed.notify_waiters();
             self.add_news();
         }
     }
 
+    /// Records that this host did not run between `from` and `to`, and asks the store what it missed.
+    pub(crate) fn record_suspension(&self, from: Millis, to: Millis) {
+        tracing::warn!(event = "suspended", for_ms = to.since(from).0);
+        self.store_news.lock().record_suspension(from, to);
+        let mut store_replica = self.store_replica.lock();
+        store_replica.operator_view.record_suspension();
+        store_replica.upstream_view.record_suspension();
+        self.view_old.notify_waiters();
+    }
+
+    /// Waits until the view of upstreams is current enough for a request to be sent to one of them, if it is
+    /// not: this host may not have run for a while, and upstreams may have left meanwhile.
+    pub(crate) async fn hold_for_view(&self) {
+        loop {
+            let confirmed = self.view_confirmed.notified();
+            let now = self.now();
+            let is_out = self.fleet.lock().store_may_be_out(now);
+            let Some(left) = self.store_replica.lock().upstream_view.hold_requests(is_out, now)
+            else {
+                return;
+            };
+            self.view_old.notify_waiters();
+            tokio::select! {
+                () = confirmed => {}
+                () = tokio::time::sleep(left.duration()) => {}
+            }
+        }
+    }
+
     /// Removes the upstreams whose registration did not return in time after an outage.
     pub(crate) fn remove_lapsed_upstreams(&self) {
         let now = self.now();
--- a/foxtail-steer/src/view_age.rs
+++ b/foxtail-steer/src/view_age.rs
@@ -44,6 +44,12 @@
 /// Shortest time between two calls with which a host asks the store.
 const ASK_PAUSE: Millis = Millis(1_000);
 
+/// Age from which requests wait for the view, if the store is not known to be out.
+const MAX_SENDING_AGE: Millis = Millis(2_000);
+
+/// Longest time for which requests wait for the view: several round trips to the store.
+const MAX_HOLD: Millis = Millis(200);
+
 /// A time for each area: how long ago a host's view of it was known to lack nothing, or when; `None` before
 /// the first confirmation.
 #[id]
@@ -84,12 +90,24 @@
     /// The latest confirmation of a version that the view does not hold yet.
     awaited: Option<Confirmation>,
     asked_at: Option<Millis>,
+    /// Whether the host was suspended since it last asked.
+    suspended: bool,
+    /// Since when requests have waited for this view.
+    holding_since: Option<Millis>,
 }
 
 impl ViewAge {
     /// Creates the age of the empty view of a host that starts at `now`.
     pub fn new(patience: Patience, now: Millis) -> Self {
-        Self { patience, started: now, confirmed_at: None, awaited: None, asked_at: None }
+        Self {
+            patience,
+            started: now,
+            confirmed_at: None,
+            awaited: None,
+            asked_at: None,
+            suspended: false,
+            holding_since: None,
+        }
     }
 
     /// Records a confirmation. `held` is the version of the view.
@@ -108,6 +126,11 @@
         }
     }
 
+    /// Records that this host did not run for a while, so that it may have missed messages.
+    pub fn record_suspension(&mut self) {
+        self.suspended = true;
+    }
+
     /// Returns when the view was last known to lack nothing.
     pub fn confirmed_at(&self) -> Option<Millis> {
         self.confirmed_at
@@ -137,10 +160,29 @@
         };
         let is_drawn = asking.draw <= ASKING_HOSTS / asking.hosts as f64 + growth;
         let is_behind = behind_since.is_some_and(|since| now.since(since) > max_behind);
-        let asks = is_behind || (self.is_old(now) && is_drawn);
+        let asks = is_behind || (self.is_old(now) && (self.suspended || is_drawn));
         if asks {
             self.asked_at = Some(now);
+            self.suspended = false;
         }
         asks
     }
+
+    /// Returns how long a request may wait for a newer view before it is sent to an upstream.
+    ///
+    /// The load that this answers: requests at a host that has just gone on after a suspension, and would
+    /// send them to upstreams that left meanwhile. Nothing waits if the `store_may_be_out`, since then no host
+    /// has a newer view, or for longer than [`MAX_HOLD`] from the first request on.
+    pub fn hold_requests(&mut self, store_may_be_out: bool, now: Millis) -> Option<Millis> {
+        if self.age(now) <= MAX_SENDING_AGE {
+            self.holding_since = None;
+            return None;
+        }
+        if store_may_be_out {
+            return None;
+        }
+        let since = *self.holding_since.get_or_insert(now);
+        let left = MAX_HOLD - now.since(since);
+        (left > Millis::ZERO).then_some(left)
+    }
 }
--- a/foxtail-steer/tests/view_age.rs
+++ b/foxtail-steer/tests/view_age.rs
@@ -312,3 +312,25 @@
     assert!(!view.asks(None, &one_of(1), Patience::UPSTREAMS.max_age));
     assert!(view.asks(None, &one_of(1), Patience::UPSTREAMS.max_age + Millis(1)));
 }
+
+#[test]
+fn requests_wait_briefly_for_the_view_after_a_suspension_and_never_for_a_store_that_is_out() {
+    let mut view = confirmed(0);
+    assert_eq!(view.hold_requests(false, Millis(1_900)), None);
+    let resumed = Millis(5_000);
+    assert_eq!(view.hold_requests(true, resumed), None);
+    let wait = view.hold_requests(false, resumed).expect("the view is old");
+    assert_eq!(view.hold_requests(false, resumed + wait), None, "no request waits longer");
+    view.confirm(Confirmation { version: 5, at: resumed }, 5);
+    assert_eq!(view.hold_requests(false, resumed + Millis(10)), None);
+    // The next suspension holds requests anew.
+    assert!(view.hold_requests(false, Millis(9_000)).is_some());
+}
+
+#[test]
+fn suspended_host_asks_at_once() {
+    let mut view = confirmed(0);
+    view.record_suspension();
+    assert!(view.asks(None, &one_of(285), Millis(4_000)));
+    assert!(!view.asks(None, &one_of(285), Millis(6_000)), "once");
+}
