--- a/foxtail-standin/src/store/endpoint.rs
+++ b/foxtail-standin/src/store/endpoint.rs
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use super::rows::{Store, TransactionError};
+use super::rows::{Page, Store, TransactionError};
 use crate::listener::Listener;
 use crate::token_bucket::TokenBucket;
 
@@ -77,6 +77,8 @@
     /// The buckets of writes and of reads, if rates are limited.
     rate_limits: Mutex<Option<(TokenBucket, TokenBucket)>>,
     call_counts: Mutex<CallCounts>,
+    /// The JSON of rows that surround the rows of each page; see [`StoreEndpoint::set_odd_rows`].
+    odd_rows: Mutex<Vec<Vec<u8>>>,
     /// Calls that [`Fault::Held`] delays until it ends.
     held_calls: TaskTracker,
 }
@@ -124,6 +126,7 @@
             answer_loss_per_mille: AtomicU32::new(0),
             rate_limits: Mutex::default(),
             call_counts: Mutex::default(),
+            odd_rows: Mutex::default(),
             held_calls: TaskTracker::new(),
         });
         let conn_shared = Arc::clone(&shared);
@@ -154,6 +157,11 @@
         *self.shared.rate_limits.lock() = Some(buckets);
     }
 
+    /// Adds `rows`, which need not be JSON, before and behind the rows of each page that has any.
+    pub fn set_odd_rows(&self, rows: &[&[u8]]) {
+        *self.shared.odd_rows.lock() = rows.iter().map(|row| row.to_vec()).collect();
+    }
+
     /// Clears the fault and waits until all calls that [`Fault::Held`] delayed are executed.
     pub async fn finish_held_calls(&self) {
         self.set_fault(Fault::None);
@@ -287,7 +295,8 @@
         let limit = query.number("limit").unwrap_or(u64::MAX) as usize;
         let from = query.text("from").replace("%00", "\0");
         let to = query.text("to").replace("%00", "\0");
-        json(&self.store.read_range(query.text("table"), query.text("part"), (&from, &to), limit))
+        let (table, part) = (query.text("table"), query.text("part"));
+        self.page(&self.store.read_range(table, part, (&from, &to), limit))
     }
 
     async fn read_feed(&self, query: &Query<'_>) -> Answer {
@@ -302,13 +311,28 @@
             };
             let timed_out = tokio::time::Instant::now() >= until;
             if page.rows.as_ref().is_some_and(|rows| !rows.is_empty()) || timed_out {
-                return json(&page);
+                return self.page(&page);
             }
             // A change and the time limit both end the wait; the loop then reads the feed again.
             let _ = tokio::time::timeout_at(until, changes.changed()).await;
         }
     }
 
+    /// Returns the answer with `page` and the odd rows.
+    fn page(&self, page: &Page) -> Answer {
+        let odd = self.odd_rows.lock().join(&b","[..]);
+        let has_rows = page.rows.as_ref().is_some_and(|rows| !rows.is_empty());
+        if odd.is_empty() || !has_rows {
+            return json(page);
+        }
+        let mut body = serde_json::to_vec(page).expect("pages are JSON");
+        let end = body.iter().rposition(|&byte| byte == b']').expect("a page has a list of rows");
+        body.splice(end..end, [b",", &odd[..]].concat());
+        let start = br#"{"rows":["#.len();
+        body.splice(start..start, [&odd[..], b","].concat());
+        Response::new(Full::new(body.into()))
+    }
+
     fn call_object(
         &self,
         method: &Method,
