fix(steer): a load report with numbers too large has no effect

The caller whose answer carried it got none: "Foxtailrouter-Server-Load: 4294967295,1,3" overflowed the sum of running and waiting requests, which ends the request's task in debug builds and in release builds wraps to a load of 0. With numbers that do not overflow the upstream seemed to have so many requests that it got none for long, or u32::MAX slots, which count for its region as those of a registration do.

Before the fix `load_report_with_numbers_too_large_does_not_end_the_host_or_the_use_of_the_upstream` failed: "panicked at foxtail-steer/src/upstream_state.rs:167:31: attempt to add with overflow". A report with a number above MAX_SLOTS is now ignored, like one that can't be parsed. The tests of extreme registrations and configurations pass without a fix and stay: `Millis` saturates, and the estimates are floating point.

--- a/foxtail-steer/src/upstream.rs
+++ b/foxtail-steer/src/upstream.rs
@@ -4,6 +4,11 @@
 
 use foxtail_types::prelude::*;
 
+/// The most slots that an upstream can have, and requests that can run or wait there. It is hundreds of
+/// times those of usual upstreams, and more than the connections that one accepts, each of which carries
+/// one request. Larger numbers are faults.
+pub const MAX_SLOTS: u32 = 4_096;
+
 /// A registered upstream.
 #[value]
 pub struct Upstream {
@@ -35,3 +40,10 @@
     /// Its number of slots.
     pub slots: u32,
 }
+
+impl Load {
+    /// Returns whether an upstream can have this load.
+    pub fn is_plausible(&self) -> bool {
+        [self.running, self.waiting, self.slots].iter().all(|count| *count <= MAX_SLOTS)
+    }
+}
--- a/foxtail-steer/src/upstream_state.rs
+++ b/foxtail-steer/src/upstream_state.rs
@@ -163,7 +163,11 @@
         self.error_rate * decay(now.since(self.health_updated_at).0 as f64, HEALTH_DECAY_MS)
     }
 
+    /// Records a load report, unless its numbers are those of a faulty upstream.
     pub(crate) fn record_load(&mut self, load: Load, now: Millis) {
+        if !load.is_plausible() {
+            return;
+        }
         let total = f64::from(load.running + load.waiting);
         self.other_requests = (total - f64::from(self.own_requests)).max(0.0);
         self.other_requests_avg +=
