fix(steer): an upstream in a zone that the settings do not list gets no requests until they do

Another writer's entry with a zone that nobody knows counted as being in the region of whichever host looked at it: requests of routes with home regions went there from every region, hosts of all regions were its sender while it was cold, and it got a share of their requests as an upstream next door would.

Before the fix `upstream_in_a_zone_that_the_settings_do_not_list_gets_requests_once_they_do` failed: of 40 requests many went to "zz-0", in a row with those of "a1-0".

The settings list all zones of the site. When they change, the regions of all known upstreams are determined anew, which did not happen before either. Whoever adds a zone must add it to the settings before its servers start.

--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -167,6 +167,9 @@
         self.retry_budget.set_options(options.retry);
         self.regions = regions(&options);
         self.options = options;
+        for state in &mut self.upstreams {
+            state.set_region(&self.options);
+        }
     }
 
     /// Returns the active configuration.
@@ -192,10 +195,7 @@
     /// Adds an upstream or updates its registration. Registrations of earlier incarnations are
     /// ignored.
     pub fn set_upstream(&mut self, up: Upstream, now: Millis) {
-        // The settings list all zones. An upstream in an unlisted zone counts as being in this
-        // region.
-        let region = self.options.zones.get(&up.zone).unwrap_or(&self.options.region).clone();
-        self.upsert(up, region, now);
+        self.upsert(up, now);
     }
 
     /// Removes an upstream. Its state is kept until its last request of this host has ended.
@@ -371,10 +371,15 @@
         self.shift_limiter.update_capacity(slots, &self.options.region, now);
     }
 
-    /// Returns whether the upstream is registered, not leaving and not in an evacuated zone.
+    /// Returns whether the upstream is registered, not leaving and not in an evacuated zone. Of a zone
+    /// that the settings do not list it is not known which region's requests it may serve and which
+    /// host may send to it while it is cold.
     pub(crate) fn is_available(&self, state: &UpstreamState) -> bool {
         let leaving = state.up.draining || state.notices.leaving;
-        !state.removed && !leaving && !self.evacuated_zones.contains(&state.up.zone)
+        !state.removed
+            && !leaving
+            && state.zone_listed
+            && !self.evacuated_zones.contains(&state.up.zone)
     }
 
     /// Returns the estimated cache size of the upstreams of `service`.
@@ -400,7 +405,7 @@
         service.map_or(Millis::ZERO, |service| service.warm_up)
     }
 
-    fn upsert(&mut self, up: Upstream, region: RegionId, now: Millis) {
+    fn upsert(&mut self, up: Upstream, now: Millis) {
         let cold_for = up.cold_for;
         let index = match self.index_by_id.get(&up.id) {
             Some(&index) => {
@@ -423,8 +428,8 @@
                     self.indices_by_service.entry(up.service.clone()).or_default().push(index);
                 }
                 state.removed = false;
-                state.region = region;
                 state.up = up;
+                state.set_region(&self.options);
                 index
             }
             None => {
@@ -432,7 +437,7 @@
                 self.index_by_id.insert(up.id.clone(), index);
                 self.indices_by_service.entry(up.service.clone()).or_default().push(index);
                 let (named_limit, notices) = self.unregistered.take(&up, now);
-                let mut state = UpstreamState::new(up, region, now);
+                let mut state = UpstreamState::new(up, &self.options, now);
                 (state.named_limit, state.notices) = (named_limit, notices);
                 self.upstreams.push(state);
                 index
--- a/foxtail-steer/src/upstream_state.rs
+++ b/foxtail-steer/src/upstream_state.rs
@@ -9,6 +9,7 @@
 use crate::limited_sending::LimitedSending;
 use crate::named_limit::NamedLimit;
 use crate::notice::Notices;
+use crate::steering::Options;
 use crate::upstream::{Load, Upstream};
 
 /// Largest number of recently handled objects that are tracked for each upstream.
@@ -42,7 +43,10 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     pub(crate) up: Upstream,
+    /// The region of its zone; this host's region if the settings do not list the zone.
     pub(crate) region: RegionId,
+    /// Whether the settings list its zone.
+    pub(crate) zone_listed: bool,
     /// Whether the registration was removed, or a different instance answered at the address.
     pub(crate) removed: bool,
     pub(crate) cold_until: Millis,
@@ -80,10 +84,11 @@
 }
 
 impl UpstreamState {
-    pub(crate) fn new(up: Upstream, region: RegionId, now: Millis) -> Self {
-        Self {
+    pub(crate) fn new(up: Upstream, options: &Options, now: Millis) -> Self {
+        let mut state = Self {
             up,
-            region,
+            region: options.region.clone(),
+            zone_listed: false,
             removed: false,
             cold_until: Millis::ZERO,
             warm_up_tokens: TokenBucket::new(1.0, 1.0, now),
@@ -102,7 +107,16 @@
             connect_failures: 0,
             lost_answers: 0,
             recent_objects: RecentObjects::default(),
-        }
+        };
+        state.set_region(options);
+        state
+    }
+
+    /// Sets the region to that of the upstream's zone.
+    pub(crate) fn set_region(&mut self, options: &Options) {
+        let region = options.zones.get(&self.up.zone);
+        self.zone_listed = region.is_some();
+        self.region = region.unwrap_or(&options.region).clone();
     }
 
     /// Resets the state that belongs to an earlier incarnation or address, but for notices.
--- a/foxtail-steer/tests/odd_entries.rs
+++ b/foxtail-steer/tests/odd_entries.rs
@@ -54,6 +54,23 @@
     }
 }
 
+#[test]
+fn upstream_in_a_zone_that_the_settings_do_not_list_gets_requests_once_they_do() {
+    let mut host = host(&[("a1-0", "a1"), ("zz-0", "zz")]);
+    let home = Route { homes: vec!["a".parse().unwrap()], ..route("r") };
+    for route in [&route("r"), &home] {
+        let sent = send_many(&mut host, route, 40, Millis(0));
+        assert!(sent.len() == 40 && sent.iter().all(|id| id == "a1-0"), "{sent:?}");
+    }
+    let mut listed = options("h1", "a");
+    listed.zones.insert("zz".parse().unwrap(), "b".parse().unwrap());
+    host.0.set_options(listed);
+    host.0.remove_upstream(&"a1-0".parse().unwrap(), Millis(1_000));
+    let sent = send_many(&mut host, &route("r"), 40, Millis(2_000));
+    assert!(sent.len() == 40 && sent.iter().all(|id| id == "zz-0"), "{sent:?}");
+    assert!(send_many(&mut host, &home, 40, Millis(3_000)).is_empty(), "not in a home region");
+}
+
 #[test]
 fn extreme_registrations_do_not_overflow() {
     let max = Millis::MAX;
