fix(steer): upstreams of services that the configuration does not name are no capacity

Callers of a region would have waited for another region's upstreams while their own were free: an entry of another writer with a service that nobody knows got no requests, but its slots counted for its region, from which a starting host takes the shares of requests that it expects there. The limit on shifts then keeps requests away from the host's own region.

Only slots of upstreams whose service the configuration names are now counted. A service that a later configuration adds counts from then on, as a gain of slots did before when its upstreams registered.

--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -363,7 +363,10 @@
         let mut slots: BTreeMap<RegionId, f64> =
             self.options.zones.values().map(|region| (region.clone(), 0.0)).collect();
         for state in &self.upstreams {
-            let usable = self.is_available(state) && state.backoff_until <= now;
+            // Requests go only to services of the configuration; others are not capacity.
+            let in_use =
+                self.cfg.as_ref().is_some_and(|cfg| cfg.service(&state.up.service).is_some());
+            let usable = in_use && self.is_available(state) && state.backoff_until <= now;
             if usable && let Some(total) = slots.get_mut(&state.region) {
                 *total += f64::from(state.up.slots);
             }
--- a/foxtail-steer/tests/odd_entries.rs
+++ b/foxtail-steer/tests/odd_entries.rs
@@ -6,7 +6,7 @@
 
 use common::{config, fleet, options, record_outcome, route, send, upstream};
 use foxtail_steer::steering::Outcome;
-use foxtail_steer::upstream::Load;
+use foxtail_steer::upstream::{Load, MAX_SLOTS};
 use foxtail_steer::{Config, Fleet, Route, Steering};
 use foxtail_types::prelude::*;
 
@@ -71,6 +71,17 @@
     assert!(send_many(&mut host, &home, 40, Millis(3_000)).is_empty(), "not in a home region");
 }
 
+#[test]
+fn upstream_of_a_service_that_nobody_knows_does_not_move_requests_to_its_region() {
+    let mut host = host(&[("a1-0", "a1"), ("b1-0", "b1")]);
+    let mut odd = upstream("odd", "b1");
+    (odd.service, odd.slots) = ("nobody".parse().unwrap(), MAX_SLOTS);
+    host.0.set_upstream(odd, Millis(0));
+    let sent = send_many(&mut host, &route("r"), 40, Millis(1_000));
+    let moved = sent.iter().filter(|id| *id == "b1-0").count();
+    assert!(sent.len() == 40 && moved == 0, "{moved} of {} requests moved", sent.len());
+}
+
 #[test]
 fn extreme_registrations_do_not_overflow() {
     let max = Millis::MAX;
