fix(entry): an outage counts from its end, and ages that waited through a suspension are not believed

- A host that became a reader seconds after an outage took it for one that had just ended, and kept what was removed then: up to 2.70 s of requests at a removed upstream, 2.5 s allowed.
The end of an outage is what counts now, for the verdict and for how long an upstream is kept.
Test: upstream_removed_seconds_after_an_outage_is_not_taken_for_lapsed_by_new_readers.
- Messages that waited while a host was suspended confirmed its old view.
Ages that others tell are ignored for a second after a suspension, which the first message notices, too, and the host asks the store in any case.
- Requests were held in the first of two suspensions only.
- While the store is out, hosts that lack a change are drawn like others, and pause longer after each call that confirms nothing; it counts as out only if nobody tells of an answer.
- Ages have a pacer of their own, so that they don't delay strikes.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -46,7 +46,9 @@
     pub(crate) notify_peers: Notify,
     /// When other hosts are told of strikes.
     pub(crate) news: Mutex<NewsPacer>,
-    /// Wakes the task that informs other hosts of strikes.
+    /// When other hosts are told of the age of this host's view.
+    pub(crate) view_news: Mutex<NewsPacer>,
+    /// Wakes the task that informs other hosts of strikes and ages.
     pub(crate) news_added: Notify,
     /// Wakes the task that informs other hosts, because this host can serve a large change to them.
     pub(crate) announce_source: Notify,
@@ -65,6 +67,8 @@
     pub(crate) requests: AtomicU64,
     /// The total size of request bodies in memory, in bytes.
     pub(crate) buffered_body_bytes: AtomicU64,
+    /// When the task that sends digests ran last, in milliseconds.
+    pub(crate) last_tick: AtomicU64,
     /// The facts that are being sent to other hosts.
     pub(crate) transfers: Mutex<TransferLimit>,
     /// The version of the store at which the host is registered; 0 before.
@@ -96,11 +100,14 @@
     /// Creates the initial state of a host with `settings`.
     pub(crate) fn new(settings: Settings, blocks: BlockMap, ports: Ports) -> Self {
         let Ports { dial, clock, protocol, store } = ports;
+        let started = clock.now();
+        let mut store_news = StoreNews::default();
+        store_news.record(started);
         Self {
             steering: Mutex::new(Steering::new(settings.steering_options())),
             fleet: Mutex::new(Fleet::new(settings.record(), clock.now(), clock.wall())),
             store_replica: Mutex::new(StoreReplica::new(&settings.host, clock.now())),
-            store_news: Mutex::default(),
+            store_news: Mutex::new(store_news),
             settings: Mutex::new(Arc::new(settings)),
             clock,
             protocol,
@@ -113,6 +120,7 @@
             upstreams_lost: Notify::new(),
             notify_peers: Notify::new(),
             news: Mutex::default(),
+            view_news: Mutex::default(),
             news_added: Notify::new(),
             announce_source: Notify::new(),
             view_confirmed: Notify::new(),
@@ -125,6 +133,7 @@
             lifecycle: Lifecycle::default(),
             requests: AtomicU64::new(0),
             buffered_body_bytes: AtomicU64::new(0),
+            last_tick: AtomicU64::new(started.0),
             transfers: Mutex::default(),
             registered_version: AtomicU64::new(0),
             pull_conns: AtomicU64::new(0),
--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -12,18 +12,15 @@
 use rand::Rng;
 
 use crate::context::HostContext;
-use crate::knowledge::{LAPSE_MEMORY, STORE};
+use crate::knowledge::STORE;
 use crate::ports::{Area, Error, Fact, Facts};
 
 /// How long a call waits for a change in the store if another reader confirms the view. If that one fails,
 /// the end of the call confirms it before the store counts as out.
 const LONG_POLL_TIMEOUT: Millis = Millis(1_500);
 
-/// How long a call of the reader that confirms the view of upstreams waits for a change.
-const UPSTREAMS_CONFIRM_INTERVAL: Millis = Millis(600);
-
-/// The same for the operators' area, whose changes may take longer.
-const OPERATORS_CONFIRM_INTERVAL: Millis = Millis(800);
+/// How long a call of the reader that confirms the view waits for a change.
+const CONFIRM_INTERVAL: Millis = Millis(600);
 
 /// How long a call waits for a change while the store fails, or if this host only asks once. It is short,
 /// so that the end of an outage is noticed when the store returns, and not with the next change.
@@ -38,10 +35,6 @@
 /// The maximum pause between two calls while the store fails.
 const MAX_RETRY_PAUSE: Millis = Millis(1_000);
 
-/// How long after a store outage a removed registration counts as possibly lapsed during the
-/// outage.
-const LAPSED_WINDOW: Millis = Millis(2_200);
-
 /// How long after the store was restored from an older copy all rows are read once more. By then
 /// what was lost is written again, and registrations of upstreams that are gone have lapsed.
 const RESTORED_READ_DELAY: Millis = Millis(6_000);
@@ -64,14 +57,10 @@
     must_read_all: bool,
     /// When calls to the store began to fail; `None` while they succeed.
     failing_since: Option<Millis>,
-    /// When the store last answered this host.
-    last_contact: Millis,
     /// When the last call before the present one ended.
     last_call: Millis,
     /// The pause after the next failed call, before jitter.
     pause: Millis,
-    /// Until when removed registrations count as possibly lapsed.
-    lapsed_until: Millis,
     /// When all rows are read once more after the store was restored.
     read_again_at: Option<Millis>,
 }
@@ -86,10 +75,8 @@
         started,
         must_read_all: false,
         failing_since: None,
-        last_contact: started,
         last_call: started,
         pause: INITIAL_RETRY_PAUSE,
-        lapsed_until: Millis::ZERO,
         read_again_at: None,
     };
     ended.run_until_cancelled(follower.run()).await;
@@ -140,14 +127,9 @@
     /// Returns whether this host, which does not read the store, asks it now, since its view is too old.
     fn asks_once(&self) -> bool {
         let now = self.cx.now();
-        let asking = {
-            let fleet = self.cx.fleet.lock();
-            Asking {
-                hosts: fleet.alive_targets(now).len() + 1,
-                draw: rand::rng().random(),
-                store_may_be_out: fleet.store_may_be_out(now),
-            }
-        };
+        let store_may_be_out = self.cx.store_may_be_out(now);
+        let hosts = self.cx.fleet.lock().alive_targets(now).len() + 1;
+        let asking = Asking { hosts, draw: rand::rng().random(), store_may_be_out };
         let asks = self.cx.store_replica.lock().asks(self.area, &asking, now);
         if asks {
             tracing::info!(event = "view_old", area = ?self.area,
@@ -173,8 +155,7 @@
         let wait = match self.area {
             _ if rank.is_none() || self.failing_since.is_some() => SHORT_POLL_TIMEOUT,
             _ if !confirms => LONG_POLL_TIMEOUT,
-            Area::Upstreams => UPSTREAMS_CONFIRM_INTERVAL,
-            Area::Operators | Area::Hosts => OPERATORS_CONFIRM_INTERVAL,
+            _ => CONFIRM_INTERVAL,
         };
         self.read_again_at.map_or(wait, |at| wait.min(at.since(now)))
     }
@@ -188,7 +169,7 @@
             Ok(facts) => {
                 self.record_success();
                 let now = self.cx.now();
-                let lapsed = now < self.lapsed_until;
+                let lapsed = self.cx.store_news.lock().may_have_lapsed(now);
                 self.read_again_at = self.read_again_at.filter(|at| *at > now);
                 if self.cx.is_restored_at(self.area, facts.version) {
                     tracing::warn!(event = "store_restored", area = ?self.area,
@@ -218,7 +199,7 @@
             Ok(mut facts) => {
                 self.record_success();
                 let any_changes = !facts.facts.is_empty();
-                if self.cx.now() < self.lapsed_until {
+                if self.cx.store_news.lock().may_have_lapsed(self.cx.now()) {
                     facts.facts.iter_mut().for_each(mark_lapsed);
                 }
                 let is_current = self.cx.apply_facts(self.area, facts, false, STORE);
@@ -227,7 +208,7 @@
                 let version = self.cx.known_version(self.area);
                 // An answer from before what this host knows comes from a replica that lags behind.
                 if is_current {
-                    self.cx.confirm_view(self.area, Confirmation { version, at });
+                    self.cx.confirm_view(self.area, Confirmation { version, at }, true);
                 }
                 if any_changes {
                     self.cx.notify_peers.notify_one();
@@ -247,19 +228,18 @@
     fn record_success(&mut self) {
         self.pause = INITIAL_RETRY_PAUSE;
         let now = self.cx.now();
-        let since = self.last_contact.max(now - LAPSE_MEMORY);
-        let silence = self.cx.store_news.lock().longest_silence(since, now);
-        let was_out = self.cx.store_news.lock().may_have_been_out(since, now);
-        if was_out {
-            self.lapsed_until = now + LAPSED_WINDOW;
+        let silence = self.cx.store_news.lock().silence(now);
+        if self.area == Area::Upstreams {
+            self.cx.store_news.lock().record(now);
         }
         if let Some(failing_since) = self.failing_since.take() {
             self.cx.fleet.lock().set_store_lost(false);
-            tracing::info!(event = "store_regained", area = ?self.area, for_all = was_out,
+            let for_all = self.cx.store_news.lock().may_have_lapsed(now);
+            tracing::info!(event = "store_regained", area = ?self.area, for_all,
                 lost_ms = now.since(failing_since).0, silence_ms = silence.0,
                 unasked_ms = now.since(self.last_call).0);
         }
-        (self.last_contact, self.last_call) = (now, now);
+        self.last_call = now;
     }
 
     /// Records the start of a store outage, and waits before the next call.
--- a/foxtail-entry/src/gossip.rs
+++ b/foxtail-entry/src/gossip.rs
@@ -76,10 +76,19 @@
     }
 }
 
+/// Records a suspension if the host did not run between its last tick and `now`.
+fn check_suspension(cx: &HostContext, now: Millis) {
+    let last_tick = Millis(cx.last_tick.swap(now.0, Ordering::Relaxed));
+    if now.since(last_tick) > DIGEST_INTERVAL + MIN_SUSPENSION {
+        cx.record_suspension(last_tick, now);
+    }
+}
+
 async fn handle_digest(cx: &Arc<HostContext>, socket: &UdpSocket, digest: &Digest) {
     cx.metrics.count_digest();
     let versions = digest.versions;
     let now = cx.now();
+    check_suspension(cx, now);
     for (area, version) in
         [(Area::Operators, versions.operators), (Area::Upstreams, versions.upstreams)]
     {
@@ -96,7 +105,8 @@
             (Area::Upstreams, versions.upstreams, ages.upstreams),
         ] {
             if let Some(age) = age {
-                cx.confirm_view(area, Confirmation { version, at: now - (age + MESSAGE_DELAY) });
+                let at = now - (age + MESSAGE_DELAY);
+                cx.confirm_view(area, Confirmation { version, at }, false);
             }
         }
     }
@@ -159,7 +169,9 @@
     let mut last_log = last_tick;
     let started = last_tick;
     loop {
-        let news_due = cx.news.lock().due_in(cx.now());
+        let now = cx.now();
+        let (strikes_due, ages_due) = (cx.news.lock().due_in(now), cx.view_news.lock().due_in(now));
+        let news_due = [strikes_due, ages_due].into_iter().flatten().min();
         tokio::select! {
             _ = ticks.tick() => {}
             () = tokio::time::sleep(news_due.unwrap_or_default().duration()), if news_due.is_some() => {
@@ -188,9 +200,7 @@
             last_cleanup = now;
             remove_gone_hosts(&cx, now);
         }
-        if now.since(last_tick) > DIGEST_INTERVAL + MIN_SUSPENSION {
-            cx.record_suspension(last_tick, now);
-        }
+        check_suspension(&cx, now);
         let requests = cx.requests.load(Ordering::Relaxed);
         let elapsed_s = now.since(last_tick).as_secs_f64();
         if elapsed_s > 0.0 {
@@ -237,10 +247,13 @@
     }
 }
 
-/// Sends a short digest with strikes to a few random hosts of this host's region, if it is time to.
+/// Sends a short digest with strikes and the age of the view to a few random hosts of this host's region, if
+/// it is time to tell them of either.
 async fn send_news(cx: &HostContext, socket: &UdpSocket) {
     let now = cx.now();
-    if !cx.news.lock().take(now) {
+    let tells_strikes = cx.news.lock().take(now);
+    let tells_ages = cx.view_news.lock().take(now);
+    if !tells_strikes && !tells_ages {
         return;
     }
     let (digest, targets) = {
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -11,10 +11,6 @@
 use crate::ports::{Area, Fact, Facts};
 use crate::replica::AreaReplica;
 
-/// How far back an outage of the store may have lapsed registrations that are missing now: they lapse within
-/// seconds, and return within two more.
-pub(crate) const LAPSE_MEMORY: Millis = Millis::secs(10);
-
 /// The source of facts that this host read itself.
 pub(crate) const STORE: &str = "store";
 
@@ -166,8 +162,8 @@
         // Another host may take a fault of its own for an outage of the store.
         let may_have_lapsed = source == STORE
             || self.is_restored_at(area, version)
-            || self.store_news.lock().may_have_been_out(now - LAPSE_MEMORY, now);
-        let (changed, versions, confirmed_at, behind) = {
+            || self.store_news.lock().may_have_lapsed(now);
+        let (changed, is_news, behind) = {
             let mut store_replica = self.store_replica.lock();
             let Some(replica) = store_replica.area(area) else { return true };
             let Some(changed) = replica.apply(facts, lapsed, now) else {
@@ -185,9 +181,13 @@
                 view.hold(held);
             }
             let behind = store_replica.catch_up(area, source, now);
-            (changed, store_replica.versions(), store_replica.confirmed_at(), behind)
+            let (versions, confirmed_at) = (store_replica.versions(), store_replica.confirmed_at());
+            self.fleet.lock().set_view(versions, confirmed_at);
+            (changed, store_replica.has_news(), behind)
         };
-        self.fleet.lock().set_view(versions, confirmed_at);
+        if is_news {
+            self.tell_view_age();
+        }
         if !changed.is_empty() {
             tracing::info!(
                 event = "facts",
@@ -217,9 +217,9 @@
         true
     }
 
-    /// Records that `area` had no change after the confirmed version at the confirmed time, as this host or
-    /// another one read, and tells other hosts.
-    pub(crate) fn confirm_view(&self, area: Area, confirmation: Confirmation) {
+    /// Records that `area` had no change after the confirmed version at the confirmed time, as this host has
+    /// `read` or another one told, and tells other hosts.
+    pub(crate) fn confirm_view(&self, area: Area, confirmation: Confirmation, read: bool) {
         if area == Area::Upstreams {
             self.store_news.lock().record(confirmation.at);
         }
@@ -227,34 +227,50 @@
             let mut store_replica = self.store_replica.lock();
             let held = store_replica.area(area).map_or(0, |replica| replica.read_version());
             let Some(view) = store_replica.view(area) else { return };
-            view.confirm(confirmation, held);
+            match read {
+                true => view.confirm(confirmation, held),
+                false => view.confirm_told(confirmation, held, self.now()),
+            }
             let (versions, confirmed_at) = (store_replica.versions(), store_replica.confirmed_at());
             self.fleet.lock().set_view(versions, confirmed_at);
             store_replica.has_news()
         };
         if is_news {
-            self.view_confirmed.notify_waiters();
-            self.add_news();
+            self.tell_view_age();
         }
     }
 
+    /// Tells other hosts that the view was confirmed anew, and wakes the requests that wait for it.
+    fn tell_view_age(&self) {
+        self.view_confirmed.notify_waiters();
+        self.view_news.lock().add();
+        self.news_added.notify_one();
+    }
+
     /// Records that this host did not run between `from` and `to`, and asks the store what it missed.
     pub(crate) fn record_suspension(&self, from: Millis, to: Millis) {
         tracing::warn!(event = "suspended", for_ms = to.since(from).0);
         self.store_news.lock().record_suspension(from, to);
         let mut store_replica = self.store_replica.lock();
-        store_replica.operator_view.record_suspension();
-        store_replica.upstream_view.record_suspension();
+        store_replica.operator_view.record_suspension(to);
+        store_replica.upstream_view.record_suspension(to);
         self.view_old.notify_waiters();
     }
 
+    /// Returns whether the store may be out: hosts say that they can't reach it, and nobody has told of an
+    /// answer lately.
+    pub(crate) fn store_may_be_out(&self, now: Millis) -> bool {
+        let silence = self.store_news.lock().silence(now);
+        silence > Patience::UPSTREAMS.max_age && self.fleet.lock().store_may_be_out(now)
+    }
+
     /// Waits until the view of upstreams is current enough for a request to be sent to one of them, if it is
     /// not: this host may not have run for a while, and upstreams may have left meanwhile.
     pub(crate) async fn hold_for_view(&self) {
         loop {
             let confirmed = self.view_confirmed.notified();
             let now = self.now();
-            let is_out = self.fleet.lock().store_may_be_out(now);
+            let is_out = self.store_may_be_out(now);
             let Some(left) = self.store_replica.lock().upstream_view.hold_requests(is_out, now)
             else {
                 return;
@@ -302,7 +318,8 @@
             Fact::UpstreamGone { id, lapsed } => {
                 tracing::info!(event = "upstream_gone", upstream = %id, kept = lapsed, version);
                 if lapsed {
-                    self.store_replica.lock().lapsed.record(id, now);
+                    let returned_at = self.store_news.lock().outage_end(now).unwrap_or(now);
+                    self.store_replica.lock().lapsed.record(id, returned_at);
                 } else {
                     self.store_replica.lock().lapsed.forget(&id);
                     self.remove_upstream(&id);
--- a/foxtail-entry/tests/silence.rs
+++ b/foxtail-entry/tests/silence.rs
@@ -344,3 +344,34 @@
 async fn registrations_that_lapse_while_the_store_answers_nobody_interrupt_no_service() {
     lapse_registrations_in_an_outage(Fault::Held).await;
 }
+
+#[tokio::test]
+async fn upstream_removed_seconds_after_an_outage_is_not_taken_for_lapsed_by_new_readers() {
+    let site = TestSite::new();
+    site.configure(7);
+    let (first, second) = (site.upstream("up-1", "a1").await, site.upstream("up-2", "a1").await);
+    let kept = site.upstream("up-3", "a1").await;
+    let mut hosts: Vec<(Host, StoreEndpoint)> = Vec::new();
+    for name in host_names(6) {
+        let endpoint = site.store_endpoint().await;
+        hosts.push((site.ready_host(&name, "a1", &endpoint).await, endpoint));
+    }
+    sleep(Duration::from_secs(3)).await;
+    hosts.iter().for_each(|(_, endpoint)| endpoint.set_fault(Fault::Unavailable));
+    // A change ends the waiting calls, so that the next ones meet the fault.
+    site.store.put("servers", "up-3", &kept.registration("books", "a2", "ready", 0.0));
+    sleep(Duration::from_secs(5)).await;
+    hosts.iter().for_each(|(_, endpoint)| endpoint.set_fault(Fault::None));
+    sleep(Duration::from_millis(5_300)).await;
+    let stops: Vec<_> = hosts.drain(..2).map(|(host, _)| tokio::spawn(host.stop())).collect();
+    let callers = Callers::start(hosts.iter().map(|(host, _)| host));
+    sleep(Duration::from_millis(700)).await;
+    assert_removals_take_effect(&site, &first, &second).await;
+    callers.end().await;
+    for (host, _) in hosts {
+        host.stop().await;
+    }
+    for stop in stops {
+        stop.await.expect("no panic");
+    }
+}
--- a/foxtail-steer/src/lapsed.rs
+++ b/foxtail-steer/src/lapsed.rs
@@ -9,17 +9,17 @@
 
 /// How long an upstream is kept whose registration may have lapsed: a live upstream registers again within
 /// this time after the store's return.
-const LAPSED_GRACE: Millis = Millis(2_200);
+pub(crate) const LAPSED_GRACE: Millis = Millis(2_200);
 
 /// Upstreams whose registrations may have lapsed, and when they are removed.
 #[derive(Debug, Default)]
 pub struct LapsedUpstreams(BTreeMap<UpstreamId, Millis>);
 
 impl LapsedUpstreams {
-    /// Records that the registration of `id` is missing. Several hosts may tell the same removal, one after
-    /// the other.
-    pub fn record(&mut self, id: UpstreamId, now: Millis) {
-        self.0.entry(id).or_insert(now + LAPSED_GRACE);
+    /// Records that the registration of `id` is missing after the store returned at `returned_at`. Several
+    /// hosts may tell the same removal, one after the other.
+    pub fn record(&mut self, id: UpstreamId, returned_at: Millis) {
+        self.0.entry(id).or_insert(returned_at + LAPSED_GRACE);
     }
 
     /// Records that `id` is registered, or removed for good.
--- a/foxtail-steer/src/store_news.rs
+++ b/foxtail-steer/src/store_news.rs
@@ -10,6 +10,8 @@
 
 use foxtail_types::prelude::*;
 
+use crate::lapsed::LAPSED_GRACE;
+
 /// Time in which the store answered neither this host nor another one after which registrations may have
 /// lapsed. Upstreams renew theirs every 1.5 s, and they lapse after three such intervals without
 /// success, so that a shorter outage lapses none.
@@ -21,7 +23,7 @@
 /// Most signs that are recorded; they cover a minute at least.
 const MAX_RECORDED: usize = 600;
 
-/// When the store answered other hosts, the oldest first.
+/// When the store answered this host or others, the oldest first. The first sign is the start of this host.
 #[derive(Debug, Default)]
 pub struct StoreNews(VecDeque<Sign>);
 
@@ -33,7 +35,7 @@
 }
 
 impl StoreNews {
-    /// Records that the store answered another host at `at`.
+    /// Records that the store answered this host or another one at `at`, or that this host starts.
     pub fn record(&mut self, at: Millis) {
         if self.0.back().is_none_or(|last| last.to + RESOLUTION <= at) {
             self.push(Sign { from: at, to: at });
@@ -53,19 +55,21 @@
         self.0.push_back(sign);
     }
 
-    /// Returns whether the store may have been out for all between `since`, when it was known to work or
-    /// this host began to listen, and `now`.
-    pub fn may_have_been_out(&self, since: Millis, now: Millis) -> bool {
-        self.longest_silence(since, now) >= OUTAGE
+    /// Returns when the last outage of the store ended, `now` if it may still last, or `None` if nothing
+    /// speaks for one.
+    pub fn outage_end(&self, now: Millis) -> Option<Millis> {
+        let ends = self.0.iter().skip(1).map(|sign| sign.from).chain([now]);
+        let silences = self.0.iter().zip(ends).filter(|(sign, end)| end.since(sign.to) >= OUTAGE);
+        silences.last().map(|(_, end)| end)
     }
 
-    /// Returns the longest time between `since` and `now` in which the store is not known to have worked.
-    pub fn longest_silence(&self, since: Millis, now: Millis) -> Millis {
-        let (mut previous, mut longest) = (since, Millis::ZERO);
-        for sign in self.0.iter().filter(|sign| sign.to >= since && sign.from <= now) {
-            longest = longest.max(sign.from.since(previous));
-            previous = previous.max(sign.to);
-        }
-        longest.max(now.since(previous))
+    /// Returns whether registrations that are missing `now` may have lapsed in an outage.
+    pub fn may_have_lapsed(&self, now: Millis) -> bool {
+        self.outage_end(now).is_some_and(|end| now.since(end) < LAPSED_GRACE)
+    }
+
+    /// Returns for how long the store is not known to have answered anybody.
+    pub fn silence(&self, now: Millis) -> Millis {
+        self.0.back().map_or(Millis::MAX, |last| now.since(last.to))
     }
 }
--- a/foxtail-steer/src/view_age.rs
+++ b/foxtail-steer/src/view_age.rs
@@ -25,7 +25,7 @@
 impl Patience {
     /// For configuration and evacuations. A configuration is large, so that a pull may take long.
     pub const OPERATORS: Self =
-        Self { max_age: Millis(2_000), all_ask_age: Millis(2_300), max_behind: Millis(1_500) };
+        Self { max_age: Millis(1_700), all_ask_age: Millis(2_000), max_behind: Millis(1_500) };
 
     /// For registrations of upstreams. One that leaves must get nothing more after 2.5 s.
     pub const UPSTREAMS: Self =
@@ -41,9 +41,17 @@
 /// Mean number of hosts of a region that ask the store each time that all decide, once their views are old.
 const ASKING_HOSTS: f64 = 2.0;
 
-/// Shortest time between two calls with which a host asks the store.
+/// Shortest time between two calls with which a host asks the store. It doubles up to [`MAX_ASK_PAUSE`] while
+/// they confirm nothing.
 const ASK_PAUSE: Millis = Millis(1_000);
 
+/// The longest such time.
+const MAX_ASK_PAUSE: Millis = Millis(4_000);
+
+/// How long after a suspension the ages that others tell are ignored: their messages may have waited, and
+/// say how old the views were when they were sent.
+const WAITED_MESSAGES: Millis = Millis(1_000);
+
 /// Age from which requests wait for the view, if the store is not known to be out.
 const MAX_SENDING_AGE: Millis = Millis(2_000);
 
@@ -90,8 +98,12 @@
     /// The latest confirmation of a version that the view does not hold yet.
     awaited: Option<Confirmation>,
     asked_at: Option<Millis>,
-    /// Whether the host was suspended since it last asked.
-    suspended: bool,
+    /// The pause before this host asks again.
+    ask_pause: Millis,
+    /// When the host went on after a suspension.
+    resumed_at: Option<Millis>,
+    /// Whether it has not asked since.
+    must_ask: bool,
     /// Since when requests have waited for this view.
     holding_since: Option<Millis>,
 }
@@ -105,15 +117,24 @@
             confirmed_at: None,
             awaited: None,
             asked_at: None,
-            suspended: false,
+            ask_pause: ASK_PAUSE,
+            resumed_at: None,
+            must_ask: false,
             holding_since: None,
         }
     }
 
-    /// Records a confirmation. `held` is the version of the view.
+    /// Records a confirmation that another host told. `held` is the version of the view.
+    pub fn confirm_told(&mut self, confirmation: Confirmation, held: u64, now: Millis) {
+        if self.resumed_at.is_none_or(|at| now.since(at) > WAITED_MESSAGES) {
+            self.confirm(confirmation, held);
+        }
+    }
+
+    /// Records a confirmation that this host read. `held` is the version of the view.
     pub fn confirm(&mut self, confirmation: Confirmation, held: u64) {
         if confirmation.version <= held {
-            self.confirmed_at = self.confirmed_at.max(Some(confirmation.at));
+            self.set_confirmed(confirmation.at);
         } else if self.awaited.is_none_or(|awaited| awaited.at < confirmation.at) {
             self.awaited = Some(confirmation);
         }
@@ -122,13 +143,22 @@
     /// Records that the view holds version `held`.
     pub fn hold(&mut self, held: u64) {
         if let Some(awaited) = self.awaited.take_if(|awaited| awaited.version <= held) {
-            self.confirmed_at = self.confirmed_at.max(Some(awaited.at));
+            self.set_confirmed(awaited.at);
+        }
+    }
+
+    fn set_confirmed(&mut self, at: Millis) {
+        if self.confirmed_at < Some(at) {
+            self.confirmed_at = Some(at);
+            self.ask_pause = ASK_PAUSE;
+            self.holding_since = None;
         }
     }
 
-    /// Records that this host did not run for a while, so that it may have missed messages.
-    pub fn record_suspension(&mut self) {
-        self.suspended = true;
+    /// Records that this host goes on at `now` after a suspension, so that it may have missed messages.
+    pub fn record_suspension(&mut self, now: Millis) {
+        self.resumed_at = Some(now);
+        self.must_ask = true;
     }
 
     /// Returns when the view was last known to lack nothing.
@@ -150,7 +180,7 @@
     ///
     /// `behind_since` is since when it has known of a change that it lacks.
     pub fn asks(&mut self, behind_since: Option<Millis>, asking: &Asking, now: Millis) -> bool {
-        if self.asked_at.is_some_and(|at| now.since(at) < ASK_PAUSE) {
+        if self.asked_at.is_some_and(|at| now.since(at) < self.ask_pause) {
             return false;
         }
         let Patience { max_age, all_ask_age, max_behind } = self.patience;
@@ -160,10 +190,15 @@
         };
         let is_drawn = asking.draw <= ASKING_HOSTS / asking.hosts as f64 + growth;
         let is_behind = behind_since.is_some_and(|since| now.since(since) > max_behind);
-        let asks = is_behind || (self.is_old(now) && (self.suspended || is_drawn));
+        let is_lacking = is_behind || self.is_old(now);
+        let is_certain = is_behind && !asking.store_may_be_out;
+        let asks = self.must_ask || (is_lacking && (is_certain || is_drawn));
         if asks {
+            if self.asked_at.is_some_and(|at| self.confirmed_at < Some(at)) {
+                self.ask_pause = (self.ask_pause * 2).min(MAX_ASK_PAUSE);
+            }
             self.asked_at = Some(now);
-            self.suspended = false;
+            self.must_ask = false;
         }
         asks
     }
--- a/foxtail-steer/tests/lapsed.rs
+++ b/foxtail-steer/tests/lapsed.rs
@@ -10,8 +10,8 @@
 #[test]
 fn removal_that_is_told_again_does_not_restart_the_time_for_which_the_upstream_is_kept() {
     let mut lapsed = LapsedUpstreams::default();
-    for told_at in [1_000, 1_600, 2_900] {
-        lapsed.record(id("up-1"), Millis(told_at));
+    for returned_at in [1_000, 1_600, 2_900] {
+        lapsed.record(id("up-1"), Millis(returned_at));
     }
     assert_eq!(lapsed.take_expired(Millis(3_199)), []);
     assert_eq!(lapsed.take_expired(Millis(3_200)), [id("up-1")]);
--- a/foxtail-steer/tests/view_age.rs
+++ b/foxtail-steer/tests/view_age.rs
@@ -297,13 +297,14 @@
 fn host_that_lacks_a_known_change_asks_the_store_whoever_else_does() {
     let mut view = confirmed(9_900);
     let since = Some(Millis(10_000));
-    assert!(!view.asks(since, &one_of(47), Millis(10_000) + Patience::UPSTREAMS.max_behind));
-    assert!(view.asks(since, &one_of(47), Millis(10_001) + Patience::UPSTREAMS.max_behind));
+    let asking = Asking { store_may_be_out: false, ..one_of(47) };
+    assert!(!view.asks(since, &asking, Millis(10_000) + Patience::UPSTREAMS.max_behind));
+    assert!(view.asks(since, &asking, Millis(10_001) + Patience::UPSTREAMS.max_behind));
     assert!(
-        !view.asks(since, &one_of(47), Millis(10_300) + Patience::UPSTREAMS.max_behind),
+        !view.asks(since, &asking, Millis(10_300) + Patience::UPSTREAMS.max_behind),
         "it asked just now"
     );
-    assert!(view.asks(since, &one_of(47), Millis(11_001) + Patience::UPSTREAMS.max_behind));
+    assert!(view.asks(since, &asking, Millis(11_001) + Patience::UPSTREAMS.max_behind));
 }
 
 #[test]
@@ -313,6 +314,23 @@
     assert!(view.asks(None, &one_of(1), Patience::UPSTREAMS.max_age + Millis(1)));
 }
 
+#[test]
+fn host_asks_less_often_while_nothing_is_confirmed() {
+    let mut view = confirmed(0);
+    let asks = |view: &mut ViewAge, range: std::ops::Range<u64>| {
+        range.step_by(100).filter(|at| view.asks(None, &one_of(1), Millis(*at))).count()
+    };
+    assert_eq!(asks(&mut view, 2_000..12_000), 4, "after 1, 2 and 4 s");
+    view.confirm(Confirmation { version: 5, at: Millis(12_000) }, 5);
+    assert_eq!(asks(&mut view, 14_000..16_000), 2);
+}
+
+#[test]
+fn host_that_lacks_a_change_is_drawn_like_others_while_the_store_is_out() {
+    let mut view = confirmed(0);
+    assert!(!view.asks(Some(Millis(1_000)), &one_of(47), Millis(5_000)));
+}
+
 #[test]
 fn requests_wait_briefly_for_the_view_after_a_suspension_and_never_for_a_store_that_is_out() {
     let mut view = confirmed(0);
@@ -322,15 +340,20 @@
     let wait = view.hold_requests(false, resumed).expect("the view is old");
     assert_eq!(view.hold_requests(false, resumed + wait), None, "no request waits longer");
     view.confirm(Confirmation { version: 5, at: resumed }, 5);
-    assert_eq!(view.hold_requests(false, resumed + Millis(10)), None);
-    // The next suspension holds requests anew.
+    // The next suspension holds requests anew, whether or not there were any in between.
     assert!(view.hold_requests(false, Millis(9_000)).is_some());
 }
 
 #[test]
-fn suspended_host_asks_at_once() {
+fn suspended_host_asks_at_once_and_believes_no_ages_that_may_have_waited() {
     let mut view = confirmed(0);
-    view.record_suspension();
-    assert!(view.asks(None, &one_of(285), Millis(4_000)));
-    assert!(!view.asks(None, &one_of(285), Millis(6_000)), "once");
+    view.record_suspension(Millis(4_000));
+    let told = Confirmation { version: 5, at: Millis(3_900) };
+    view.confirm_told(told, 5, Millis(4_010));
+    assert_eq!(view.confirmed_at(), Some(Millis(0)));
+    assert!(view.asks(None, &one_of(285), Millis(4_010)));
+    view.confirm(Confirmation { version: 5, at: Millis(4_010) }, 5);
+    assert!(!view.asks(None, &one_of(285), Millis(5_200)), "once");
+    view.confirm_told(Confirmation { version: 5, at: Millis(5_100) }, 5, Millis(5_200));
+    assert_eq!(view.confirmed_at(), Some(Millis(5_100)));
 }
