fix(entry): hold a relayed request until an upstream answers a host that heard nothing lately

What callers saw: while hosts' links to upstreams are silent (connections are accepted, nothing comes back), a request relayed to two such hosts in turn got no answer until its deadline, 1 to 6 s, though a third host could serve it: 504 `answer-lost`. With `max_attempts` of 2 the first host's attempt leaves one, which the second one spends on its own silent link. Requests that must not be repeated were lost at the first host.

Cause: a host sent what was relayed to it without knowing whether its links work. What goes out on a silent link may have been received, so that it counts as an attempt and can't be handed back as not run.

Why it works: a host that has had no answer from any upstream for a quarter of the request's time (2 s at most) holds the request, probes at once, and sends it with the first answer. Without one, within an eighth of the time (0.5 s at most), it hands the request back as not run. A cut of several hosts at once is always caught: the first one gives up after a quarter of the time, which is longer than the quarter of what is left that the second one allows. Busy hosts send at once. An idle one waits for the fastest of three probes, not for all, and is asked for a new round at once if the last one was answered. A host holds nothing if the first one knows no other, so that nothing is refused that could be served. A held request counts as silence like a sent one, so that a host notices no later that it lost its upstreams.

Evidence: `repeatable_requests_pass_by_two_hosts_with_silent_links_in_turn` failed in 3 of 3 runs before (`answer-lost after 1.0s of 1000 ms`), and the new `requests_that_must_not_be_repeated_pass_by_an_idle_host_with_silent_links` too (`answer-lost after 2.0s`). `idle_hosts_that_reach_upstreams_serve_what_is_relayed_to_them` bounds what idle hosts add; it fails if no answer ends the hold (951 ms). Without the last line `host_without_requests_notices_that_accepted_connections_stay_silent` failed in 4 of 4 runs (1.62 s of 1.6), with it it passed in 4 of 4.

--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -42,6 +42,8 @@
     pub(crate) probe_upstreams: Notify,
     /// Wakes the requests that wait for upstreams, because this host lost them.
     pub(crate) upstreams_lost: Notify,
+    /// Wakes the requests that are held until an upstream answers.
+    pub(crate) upstream_answered: Notify,
     /// Wakes the task that informs other hosts of changes in the store.
     pub(crate) notify_peers: Notify,
     /// When other hosts are told of strikes.
@@ -107,6 +109,7 @@
             reachability: Mutex::default(),
             probe_upstreams: Notify::new(),
             upstreams_lost: Notify::new(),
+            upstream_answered: Notify::new(),
             notify_peers: Notify::new(),
             news: Mutex::default(),
             news_added: Notify::new(),
--- a/foxtail-entry/src/probe.rs
+++ b/foxtail-entry/src/probe.rs
@@ -9,7 +9,8 @@
 };
 use foxtail_steer::steering::Outcome;
 use foxtail_types::prelude::*;
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::http::header::HOST;
@@ -34,12 +35,12 @@
 }
 
 /// Probes some upstreams if a round of probes is due, and records whether any is reached.
-async fn probe_upstreams(cx: &HostContext) {
+async fn probe_upstreams(cx: &Arc<HostContext>) {
     let began = cx.now();
     let reasons = cx.probe_reasons(began);
     let Some(round) = cx.reachability.lock().begin_probes(reasons, began) else { return };
     let ups = cx.steering.lock().upstreams_to_probe(round, began);
-    let outcomes = join_all(ups.iter().map(|up| probe(cx, up))).await;
+    let outcomes = outcomes_until_answered(cx, ups).await;
     if outcomes.contains(&ProbeOutcome::Answered) {
         cx.confirm_strikes(began);
     }
@@ -62,10 +63,34 @@
         }
         None => tracing::debug!(event = "upstreams_probed", failed, probes = ?outcomes),
     }
+    if outcomes.contains(&ProbeOutcome::Answered) {
+        cx.upstream_answered.notify_waiters();
+    }
     // A round without an answer is followed by the next one at once.
     cx.check_reachability(cx.now());
 }
 
+/// Probes `ups` and returns the outcomes, those up to the first answer if there is one: it shows all,
+/// and the next round must not wait for an upstream that is down.
+async fn outcomes_until_answered(cx: &Arc<HostContext>, ups: Vec<Upstream>) -> Vec<ProbeOutcome> {
+    let probe = |up: Upstream| {
+        let (cx, ended) = (Arc::clone(cx), cx.lifecycle.ended.clone());
+        async move { ended.run_until_cancelled(probe(&cx, &up)).await }
+    };
+    // The tasks of the other probes go on, so that their connections are kept for requests.
+    let mut probes: FuturesUnordered<_> =
+        ups.into_iter().map(|up| cx.tasks.spawn(probe(up))).collect();
+    let mut outcomes = Vec::new();
+    while let Some(probed) = probes.next().await {
+        // A probe that was ended says nothing of the links.
+        outcomes.push(probed.ok().flatten().unwrap_or(ProbeOutcome::Unanswered));
+        if outcomes.last() == Some(&ProbeOutcome::Answered) {
+            break;
+        }
+    }
+    outcomes
+}
+
 /// Requests the health of an upstream. Any answer shows that it is reached.
 async fn probe(cx: &HostContext, up: &Upstream) -> ProbeOutcome {
     let cfg = cx.steering.lock().config().cloned();
@@ -140,12 +165,45 @@
         };
         if answered {
             self.confirm_strikes(started);
+            self.upstream_answered.notify_waiters();
         }
         if suspected {
             self.probe_upstreams.notify_one();
         }
     }
 
+    /// Holds a relayed request that has to end by `deadline` while this host's links may be silent, until
+    /// an upstream answers. Returns `false` if none did in time, so that the request should be handed
+    /// back.
+    pub(crate) async fn confirm_links(&self, deadline: Millis) -> bool {
+        let now = self.now();
+        let Some(held_for) = self.reachability.lock().hold(deadline.since(now), now) else {
+            return true;
+        };
+        if self.steering.lock().upstreams_to_probe(0, now).is_empty() {
+            // No answer could come.
+            return true;
+        }
+        self.check_reachability(now);
+        let answered = async {
+            loop {
+                let answered = self.upstream_answered.notified();
+                let lost = self.upstreams_lost.notified();
+                {
+                    let reachability = self.reachability.lock();
+                    if reachability.is_lost() || reachability.has_answered_since(now) {
+                        return !reachability.is_lost();
+                    }
+                }
+                tokio::select! {
+                    () = answered => {}
+                    () = lost => {}
+                }
+            }
+        };
+        tokio::time::timeout(held_for.duration(), answered).await.unwrap_or(false)
+    }
+
     fn probe_reasons(&self, now: Millis) -> ProbeReasons {
         ProbeReasons {
             others_lost: self.fleet.lock().others_lost_upstreams(now),
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -254,6 +254,14 @@
             Err(refusal)
         });
     }
+    // What was sent on silent links can't be handed back as not run.
+    if fwd.goes_back
+        && !cx.confirm_links(deadline).await
+        && let Some(handed_back) =
+            serve_elsewhere(cx, request_log, &fwd, &mut attempts, &origin).await
+    {
+        return handed_back;
+    }
     let refusal = loop {
         let now = cx.now();
         if deadline.since(now) < MIN_TIME_LEFT {
--- a/foxtail-entry/tests/silent_links.rs
+++ b/foxtail-entry/tests/silent_links.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::cut_site::CutSite;
-use common::{Cut, CutDial, exchange, ready, request, until};
+use common::{Cut, CutDial, exchange, metrics_page, ready, request, until};
 use foxtail_entry::Host;
 use foxtail_standin::caller::Answer;
 use foxtail_standin::store::RateLimits;
@@ -83,6 +83,39 @@
     assert_served_by_the_last_host(&["a1", "a2", "a1", "b1"], &[1, 2]).await;
 }
 
+#[tokio::test]
+async fn requests_that_must_not_be_repeated_pass_by_an_idle_host_with_silent_links() {
+    let site = site_with_silent_links(&["a1", "a2", "b1"], &[1]).await;
+    // Longer than a quarter of the requests' time, and shorter than host 1 takes to notice.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let ids: Vec<String> = (0..4).map(|n| format!("w{n}")).collect();
+    let sent = ids.iter().map(|id| send(&site, "POST", id, 2_000));
+    let ended = futures::future::join_all(sent).await;
+    for (id, (got, took)) in ids.iter().zip(ended) {
+        assert_eq!((got.status, site.runs(id)), (200, 1), "{} after {took:?}", got.body);
+    }
+    site.stop().await;
+}
+
+#[tokio::test]
+async fn idle_hosts_that_reach_upstreams_serve_what_is_relayed_to_them() {
+    let site = site_with_silent_links(&["a1", "a2", "a1", "b1"], &[]).await;
+    for n in 0..6 {
+        // The hosts have had no answer for over a quarter of the requests' time.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let (id, method) = (format!("i{n}"), ["GET", "POST"][n % 2]);
+        let (got, took) = send(&site, method, &id, 4_000).await;
+        assert_eq!((got.status, site.runs(&id)), (200, 1), "{} after {took:?}", got.body);
+        // A request that is held until no answer came in time takes 500 ms longer.
+        assert!(took < Duration::from_millis(400), "{id} took {took:?}");
+    }
+    let page = metrics_page(&site.hosts[0]).await;
+    let is_counted = |outcome| page.contains(&format!("relays_total{{outcome=\"{outcome}\"}}"));
+    assert!(is_counted("answered"), "no host served what was relayed");
+    assert!(!is_counted("not-taken"), "a host refused what it could serve");
+    site.stop().await;
+}
+
 #[tokio::test]
 async fn requests_that_must_not_be_repeated_end_with_the_truth_at_hosts_with_silent_links() {
     let site = site_with_silent_links(&["a1", "a2", "b1"], &[1]).await;
--- a/foxtail-steer/src/reachability.rs
+++ b/foxtail-steer/src/reachability.rs
@@ -9,6 +9,10 @@
 //! no upstream answers anything. Since upstreams may fail by themselves, probes of upstreams in all
 //! regions confirm it. A host that lost its upstreams relays its callers' requests through other
 //! hosts (see [`relay`](crate::relay)) and goes on probing until an upstream answers.
+//!
+//! The host that a request is relayed to may have lost its upstreams too. What it sent on silent
+//! links counts as an attempt, and must not be sent again if it may be the last one. So after a
+//! while without any answer it first waits for the answer to a probe (see [`Reachability::hold`]).
 
 use std::collections::BTreeMap;
 
@@ -50,6 +54,10 @@
 /// silent gives it up for another one. A quarter is longer than the work on most requests.
 const REPEATABLE_PATIENCE_DIVISOR: u64 = 4;
 
+/// The share of a relayed request's time for which it is held until an upstream answers a probe. It is
+/// small, since several hosts in turn may hold a request.
+const HOLD_DIVISOR: u64 = 8;
+
 /// The share of its time after which a request that can't be repeated is ended if the host lost its
 /// upstreams.
 const LAST_PATIENCE_DIVISOR: u64 = 2;
@@ -68,7 +76,7 @@
     /// The latest failed connection to each upstream since the last new connection that worked.
     failures: BTreeMap<UpstreamId, Millis>,
     waiting_requests: u32,
-    /// When the first request was sent that no answer has followed, from any upstream.
+    /// When the first request was sent or held that no answer has followed, from any upstream.
     silent_since: Option<Millis>,
     answered_at: Option<Millis>,
     probed_at: Option<Millis>,
@@ -77,6 +85,8 @@
     unanswered_since: Option<Millis>,
     /// When another host last relayed a request to this one.
     relayed_at: Option<Millis>,
+    /// Until when relayed requests are held for an answer; see [`Reachability::hold`].
+    held_until: Option<Millis>,
     lost_since: Option<Millis>,
 }
 
@@ -197,9 +207,33 @@
         }
     }
 
+    /// Returns how long a relayed request with `time_left` is held until an upstream answers a probe,
+    /// or `None` if it is sent at once.
+    ///
+    /// The load that this answers: requests that hosts whose links became silent hand on to each other.
+    /// Links that delivered an answer within the time after which such a request is given up count as
+    /// working, so that a busy host sends at once, and an idle one after a round trip.
+    pub fn hold(&mut self, time_left: Millis, now: Millis) -> Option<Millis> {
+        let patience = Millis(time_left.0 / REPEATABLE_PATIENCE_DIVISOR).min(UNCONFIRMED_AFTER);
+        if self.answered_at.is_some_and(|at| now.since(at) < patience) {
+            return None;
+        }
+        let held_for = Millis(time_left.0 / HOLD_DIVISOR).min(PROBE_TIMEOUT);
+        self.held_until = self.held_until.max(Some(now + held_for));
+        // Sent, it would wait for an answer as well.
+        self.silent_since.get_or_insert(now);
+        Some(held_for)
+    }
+
+    /// Returns whether an upstream has answered since `since`.
+    pub fn has_answered_since(&self, since: Millis) -> bool {
+        self.answered_at.is_some_and(|at| at >= since)
+    }
+
     fn record_answer(&mut self, now: Millis) {
         self.answered_at = Some(now);
         self.unanswered_since = None;
+        self.held_until = None;
         self.silent_since = (self.waiting_requests > 0).then_some(now);
     }
 
@@ -221,7 +255,14 @@
         // A host that relays has lost its upstreams.
         let relayed = self.relayed_at.is_some_and(|at| now.since(at) <= UNCONFIRMED_AFTER);
         let others_lost = others_lost || relayed;
-        self.is_suspected(now) || unconfirmed_strikes || (others_lost && is_unconfirmed)
+        self.is_suspected(now)
+            || unconfirmed_strikes
+            || (others_lost && is_unconfirmed)
+            || self.holds_requests(now)
+    }
+
+    fn holds_requests(&self, now: Millis) -> bool {
+        self.held_until.is_some_and(|until| now < until)
     }
 
     /// Records that another host relayed a request to this one.
@@ -241,7 +282,9 @@
 
     /// Begins a round of probes if one is due, and returns its number.
     pub fn begin_probes(&mut self, reasons: ProbeReasons, now: Millis) -> Option<u64> {
-        let is_due = self.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
+        // Requests that are held wait for no interval if the last round was answered.
+        let is_wanted = self.holds_requests(now) && self.unanswered_since.is_none();
+        let is_due = is_wanted || self.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
         if !is_due || !self.needs_probes(reasons, now) {
             return None;
         }
--- a/foxtail-steer/tests/cut_off/main.rs
+++ b/foxtail-steer/tests/cut_off/main.rs
@@ -231,3 +231,67 @@
     // Upstreams that are busy now and then are not lost.
     assert_eq!(lost_after(others_lost, false, Millis(2_500)), None);
 }
+
+#[test]
+fn relayed_request_is_sent_at_once_while_upstreams_answer() {
+    let mut reachability = Reachability::default();
+    reachability.record_sent(Millis(900));
+    reachability.record_ended(true, Millis(1_000));
+    assert_eq!(reachability.hold(Millis(2_000), Millis(1_499)), None);
+    assert!(!reachability.needs_probes(ProbeReasons::default(), Millis(1_499)));
+}
+
+#[test]
+fn relayed_request_is_held_for_a_small_part_of_its_time_while_no_upstream_answers() {
+    for time_left in [100, 1_000, 2_000, 6_000, 60_000] {
+        let mut reachability = Reachability::default();
+        reachability.record_sent(Millis(900));
+        reachability.record_ended(true, Millis(1_000));
+        let quiet = Millis(1_000) + Millis(time_left / 4).min(Millis(2_000));
+        let held_for = reachability.hold(Millis(time_left), quiet).expect("the request is held");
+        assert!(held_for <= Millis(time_left / 8).min(Millis(500)), "{held_for:?} of {time_left}");
+        assert!(reachability.begin_probes(ProbeReasons::default(), quiet).is_some());
+        // Held requests are no reason for probes once they are handed back.
+        let later = quiet + Millis(1_000);
+        assert_eq!(reachability.begin_probes(ProbeReasons::default(), later), None);
+    }
+}
+
+#[test]
+fn relayed_requests_of_an_idle_host_are_sent_after_an_answer_to_a_probe() {
+    let mut reachability = Reachability::default();
+    let mut now = Millis(5_000);
+    // Less often than the requests' patience allows, and more often than other rounds of probes.
+    for _ in 0..8 {
+        now = now + Millis(300);
+        assert!(reachability.hold(Millis(1_000), now).is_some());
+        assert!(!reachability.has_answered_since(now));
+        let round = reachability.begin_probes(ProbeReasons::default(), now);
+        assert!(round.is_some(), "a request waits for a round of probes at {now:?}");
+        let probed_at = now + Millis(2);
+        assert_eq!(reachability.record_probes(&[ProbeOutcome::Answered], probed_at), None);
+        assert!(reachability.has_answered_since(now));
+        assert_eq!(reachability.hold(Millis(1_000), probed_at), None);
+    }
+}
+
+#[test]
+fn host_that_holds_requests_loses_its_upstreams_as_soon_as_one_that_sent_them() {
+    let lost_after = |send: fn(&mut Reachability, Millis)| {
+        let mut reachability = Reachability::default();
+        reachability.record_relayed(Millis(5_000));
+        send(&mut reachability, Millis(5_000));
+        (5_000..10_000).step_by(100).find(|now| {
+            reachability.record_relayed(Millis(*now));
+            let round = reachability.begin_probes(ProbeReasons::default(), Millis(*now));
+            let ended_at = Millis(now + 500);
+            round.is_some()
+                && reachability.record_probes(&[ProbeOutcome::Unanswered], ended_at).is_some()
+        })
+    };
+    let sent = lost_after(|reachability, now| reachability.record_sent(now));
+    let held = lost_after(|reachability, now| {
+        reachability.hold(Millis(1_500), now);
+    });
+    assert_eq!(held, sent);
+}
