test(entry): a pull that outlasts its timeout carries long names instead of 14,000 routes

Callers of real hosts saw nothing.

Cause: the test. Its four hosts, the store and the test itself share one thread of an unoptimized build, and 14,000 routes are 3 s of work for it beside load. Traced beside six busy processes and three copies: writing the document took 1.15 to 1.75 s of the 3 s, each reading of it from the store 1.1 to 1.5 s more, one after the other, and no host had asked another one when the bound passed. Beside three copies alone writing took 0.57 s and a reading 0.29 s.

Now 3,500 routes with long names carry as many bytes: still more rows than one host sends to two others at a time, still 0.7 s at the same link, of which 0.5 s is the timeout. Bound, link, hosts and the moment from which the time counts are as they were.

--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -57,14 +57,19 @@
 
     /// Writes a configuration of `books` with `count` more idempotent routes, `/extra-0/` and so on.
     pub(crate) fn configure_with_extra_routes(&self, version: u64, count: usize) {
+        self.configure_with_named_routes(version, count, "extra");
+    }
+
+    /// As [`TestSite::configure_with_extra_routes`]; the names and prefixes of the routes start with `stem`.
+    pub(crate) fn configure_with_named_routes(&self, version: u64, count: usize, stem: &str) {
         let config = foxtail_standin::store::config(version, "books", 2.0);
         let mut config: serde_json::Value = serde_json::from_str(&config).unwrap();
         let routes = config["routes"].as_array_mut().unwrap();
         let template = routes[0].clone();
         for n in 0..count {
             let mut route = template.clone();
-            route["name"] = format!("extra-{n}").into();
-            route["prefix"] = format!("/extra-{n}/").into();
+            route["name"] = format!("{stem}-{n}").into();
+            route["prefix"] = format!("/{stem}-{n}/").into();
             routes.push(route);
         }
         self.store.put("op", "config", config.to_string().as_bytes());
--- a/foxtail-entry/tests/spreading.rs
+++ b/foxtail-entry/tests/spreading.rs
@@ -24,8 +24,12 @@
 /// The routes that one change adds on the grown sites.
 const EXTRA_ROUTES: usize = 1_400;
 
-/// Routes that one thin link takes over half a second to carry.
-const ROUTES_OF_A_LONG_PULL: usize = 14_000;
+/// Routes that a host sends to one other host at a time.
+const ROUTES_OF_A_LONG_PULL: usize = 3_500;
+
+/// The length of their names, with which one thin link takes over half a second to carry them. As many
+/// bytes of short names would be so many routes that an unoptimized build decodes them for longer.
+const NAME_BYTES_OF_A_LONG_PULL: usize = 97;
 
 /// The time within which changes must be in force on all hosts.
 const APPLY_BOUND: Duration = Duration::from_secs(3);
@@ -146,9 +150,10 @@
     let region = Region::start(4).await;
     let _up = region.site.upstream("up-1", "a1").await;
     region.settle().await;
+    let stem = "x".repeat(NAME_BYTES_OF_A_LONG_PULL);
     let start = Instant::now();
-    region.site.configure_with_extra_routes(12, ROUTES_OF_A_LONG_PULL);
-    let last_route = format!("/extra-{}/1", ROUTES_OF_A_LONG_PULL - 1);
+    region.site.configure_with_named_routes(12, ROUTES_OF_A_LONG_PULL, &stem);
+    let last_route = format!("/{stem}-{}/1", ROUTES_OF_A_LONG_PULL - 1);
     let late = region.late_hosts(&last_route, 200, start).await;
     assert!(late.is_empty(), "{} of 4 hosts lack the configuration: {late:?}", late.len());
     region.stop().await;
