--- a/foxtail-entry/tests/versions.rs
+++ b/foxtail-entry/tests/versions.rs
@@ -1,5 +1,6 @@
-//! What hosts tell each other and store is read by hosts of earlier landed versions, 2515383 and c335ad7,
-//! and the other way round. Datagrams, facts and registrations are the same as those of c335ad7.
+//! What hosts tell each other and store is read by hosts of earlier landed versions, 2515383, c335ad7 and
+//! 6e6d8e4, and the other way round. Datagrams of 6e6d8e4 are those of c335ad7; facts and registrations are
+//! the same in all.
 
 use foxtail_entry::message::Message;
 use foxtail_entry::ports::{Fact, Facts};
@@ -7,6 +8,7 @@
 use foxtail_steer::notice::LeavingUpstream;
 use foxtail_steer::relay::RelayedRequest;
 use foxtail_steer::suspects::Fingerprints;
+use foxtail_steer::view_age::ViewAges;
 use foxtail_types::prelude::*;
 
 /// What 2515383 wrote.
@@ -187,6 +189,21 @@
     );
 }
 
+#[test]
+fn ages_of_views_follow_what_the_last_landed_version_reads_and_may_be_missing() {
+    let mut old_bytes = bytes(written::MESSAGE);
+    old_bytes.extend(bytes(written_later::LEAVING));
+    let mut message = Message::decode(&old_bytes).unwrap();
+    assert_eq!(message.digest.ages, None, "a host of the last landed version tells none");
+    let ages = ViewAges { operators: None, upstreams: Some(Millis(1_234)) };
+    message.digest.ages = Some(ages);
+    let new_bytes = message.encode().unwrap();
+    assert_eq!(Message::decode(&new_bytes).unwrap(), message);
+    // The last landed version ignores what follows the leaving upstreams.
+    assert_eq!(new_bytes[..old_bytes.len()], old_bytes);
+    assert_eq!(reads::message(&new_bytes), reads::message(&old_bytes));
+}
+
 #[test]
 fn facts_and_registrations_are_the_same_in_both_versions() {
     let facts: Facts = postcard::from_bytes(&bytes(written::FACTS)).unwrap();
