fix(steer): what a restored store lacks is kept from now on, not from the end of an earlier outage

By reading: the end of any outage of the last minutes counted, so that an upstream which a restored store lacks was given up at once after an outage minutes before. Only one that ended less than the grace time ago counts.

--- a/foxtail-entry/src/follow.rs
+++ b/foxtail-entry/src/follow.rs
@@ -152,10 +152,12 @@
     /// Returns for how long the next call of the reader with this `rank` waits for a change.
     fn poll_timeout(&self, rank: Option<usize>, now: Millis) -> Millis {
         let confirms = rank == Some(0) || self.cx.is_view_old(self.area);
-        let wait = match self.area {
-            _ if rank.is_none() || self.failing_since.is_some() => SHORT_POLL_TIMEOUT,
-            _ if !confirms => LONG_POLL_TIMEOUT,
-            _ => CONFIRM_INTERVAL,
+        let wait = if rank.is_none() || self.failing_since.is_some() {
+            SHORT_POLL_TIMEOUT
+        } else if confirms {
+            CONFIRM_INTERVAL
+        } else {
+            LONG_POLL_TIMEOUT
         };
         self.read_again_at.map_or(wait, |at| wait.min(at.since(now)))
     }
--- a/foxtail-entry/src/knowledge.rs
+++ b/foxtail-entry/src/knowledge.rs
@@ -318,7 +318,9 @@
             Fact::UpstreamGone { id, lapsed } => {
                 tracing::info!(event = "upstream_gone", upstream = %id, kept = lapsed, version);
                 if lapsed {
-                    let returned_at = self.store_news.lock().outage_end(now).unwrap_or(now);
+                    // Without an outage, the store was restored from an older copy.
+                    let outage_end = self.store_news.lock().recent_outage_end(now);
+                    let returned_at = outage_end.unwrap_or(now);
                     self.store_replica.lock().lapsed.record(id, returned_at);
                 } else {
                     self.store_replica.lock().lapsed.forget(&id);
--- a/foxtail-steer/src/store_news.rs
+++ b/foxtail-steer/src/store_news.rs
@@ -65,7 +65,12 @@
 
     /// Returns whether registrations that are missing `now` may have lapsed in an outage.
     pub fn may_have_lapsed(&self, now: Millis) -> bool {
-        self.outage_end(now).is_some_and(|end| now.since(end) < LAPSED_GRACE)
+        self.recent_outage_end(now).is_some()
+    }
+
+    /// Returns when the outage ended in which registrations that are missing `now` may have lapsed.
+    pub fn recent_outage_end(&self, now: Millis) -> Option<Millis> {
+        self.outage_end(now).filter(|end| now.since(*end) < LAPSED_GRACE)
     }
 
     /// Returns for how long the store is not known to have answered anybody.
--- a/foxtail-steer/tests/store_news.rs
+++ b/foxtail-steer/tests/store_news.rs
@@ -32,6 +32,7 @@
     assert!(news.may_have_lapsed(Millis(7_100)));
     for now in (7_200..20_000).step_by(100) {
         assert!(!news.may_have_lapsed(Millis(now)), "at {now} ms");
+        assert_eq!(news.recent_outage_end(Millis(now)), None);
     }
 }
 
