test(entry): an endless answer of which too little arrives may end in 504

The upstream had sent less than the 128 KB from which an answer is passed on before it is whole, so that the host answered itself when the deadline passed, which callers can't take for a success. The check holds for an answer that is passed on, as before; any other one has to be 504.

--- a/foxtail-entry/tests/endless.rs
+++ b/foxtail-entry/tests/endless.rs
@@ -43,7 +43,11 @@
     let text = request("GET", "/read/1", "r1", DEADLINE_MS, "");
     let got = exchange(host.settings().caller, &text).await;
 
-    assert!(!got.is_complete, "an endless answer looks complete");
+    // If too little of the body arrived to be passed on, the host answers itself.
+    match got.status {
+        200 => assert!(!got.is_complete, "an endless answer looks complete"),
+        status => assert_eq!(status, 504),
+    }
     assert!(began.elapsed() < Duration::from_millis(DEADLINE_MS) + SLACK);
     until("the connection is closed", async || up.endless_answers_closed() == 1).await;
     host.stop().await;
