--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,42 @@
+//! Plays the cases of the review on the project's own programs.
+
+mod client;
+mod host;
+mod http;
+mod platform;
+mod record;
+mod server;
+mod uploads;
+
+use std::path::Path;
+use std::process::exit;
+
+/// How a play ended.
+pub enum Verdict {
+    /// The rule was broken.
+    Broken,
+    /// The rule held.
+    Held,
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = args.as_slice() else {
+        eprintln!("usage: foxtail-review CASE FOLDER");
+        exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let folder = Path::new(folder);
+    let played = match case.as_str() {
+        "uploads" => uploads::play(folder, trouble),
+        _ => Err(std::io::Error::other("no such case")),
+    };
+    match played {
+        Ok(Verdict::Broken) => exit(1),
+        Ok(Verdict::Held) => exit(0),
+        Err(e) => {
+            eprintln!("the case could not run: {e}");
+            exit(2);
+        }
+    }
+}
