--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod platform;
 mod record;
 mod server;
+mod stops;
 mod uploads;
 
 use std::path::Path;
@@ -28,6 +29,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = Path::new(folder);
     let played = match case.as_str() {
+        "stops" => stops::play(folder, trouble),
         "uploads" => uploads::play(folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
