--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 /// A request or an answer.
@@ -42,6 +43,10 @@
     }
 }
 
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
+}
+
 /// A connection with the bytes that were read and not used yet.
 pub struct Conn {
     /// The socket.
@@ -66,6 +71,14 @@
         TcpStream::connect_timeout(&addr, Duration::from_secs(1)).map(Self::new)
     }
 
+    /// Bounds the receive window.
+    pub fn set_window(&self, bytes: i32) {
+        const SOL_SOCKET: i32 = 1;
+        const SO_RCVBUF: i32 = 8;
+        // SAFETY: the socket is open, and the value is a number of the length that is given.
+        unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+    }
+
     fn fill(&mut self) -> io::Result<usize> {
         let mut chunk = [0; 64 * 1024];
         let n = self.stream.read(&mut chunk)?;
@@ -115,7 +128,20 @@
         Ok(())
     }
 
-    fn read_line(&mut self) -> io::Result<String> {
+    /// Reads the line before a chunk, which tells its length.
+    pub fn read_chunk_len(&mut self) -> io::Result<usize> {
+        let line = self.read_line()?;
+        usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16)
+            .map_err(|_| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Returns a reader of the bytes that follow.
+    pub fn buffered(&mut self) -> impl Read + '_ {
+        Buffered(self)
+    }
+
+    /// Reads a line.
+    pub fn read_line(&mut self) -> io::Result<String> {
         loop {
             if let Some(at) = self.buf.windows(2).position(|two| two == b"\r\n") {
                 let line = String::from_utf8_lossy(&self.buf[..at]).into_owned();
@@ -132,9 +158,7 @@
     pub fn read_body(&mut self, message: &mut Message, keep: bool) -> io::Result<()> {
         if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
             loop {
-                let line = self.read_line()?;
-                let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16)
-                    .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+                let size = self.read_chunk_len()?;
                 self.take(message, size, keep)?;
                 self.read_line()?;
                 if size == 0 {
@@ -180,3 +204,19 @@
         }
     }
 }
+
+/// Reads what a connection has buffered, then its socket.
+struct Buffered<'c>(&'c mut Conn);
+
+impl Read for Buffered<'_> {
+    fn read(&mut self, out: &mut [u8]) -> io::Result<usize> {
+        let Conn { stream, buf } = &mut *self.0;
+        if buf.is_empty() {
+            return stream.read(out);
+        }
+        let n = buf.len().min(out.len());
+        out[..n].copy_from_slice(&buf[..n]);
+        buf.drain(..n);
+        Ok(n)
+    }
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Plays the cases of the review on the project's own programs.
 
 mod client;
+mod downloads;
 mod host;
 mod http;
 mod platform;
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = Path::new(folder);
     let played = match case.as_str() {
+        "downloads" => downloads::play(folder, trouble),
         "stops" => stops::play(folder, trouble),
         "uploads" => uploads::play(folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -14,6 +14,8 @@
     pub body_len: usize,
     /// Its checksum.
     pub body_sum: u64,
+    /// When the server had handed over its whole answer, in seconds.
+    pub answered: Option<f64>,
 }
 
 /// The record of a play, which is also written to a file.
@@ -48,13 +50,20 @@
 
     /// Records that a server began to run a request.
     pub fn runs(&self, id: &str, server: &str, body_len: usize, body_sum: u64) {
-        let run = Run { body_len, body_sum };
+        let run = Run { body_len, body_sum, answered: None };
         self.runs.lock().unwrap().entry(id.to_owned()).or_default().push(run);
         self.line(&format!("run begins request={id} server={server} body={body_len}"));
     }
 
     /// Records that a run ended, with an answer unless its connection closed.
     pub fn ran(&self, id: &str, server: &str, answered: bool) {
+        if answered {
+            let mut runs = self.runs.lock().unwrap();
+            let run = runs.get_mut(id).and_then(|runs| runs.last_mut());
+            if let Some(run) = run {
+                run.answered = Some(self.now());
+            }
+        }
         let end = if answered { "answered" } else { "connection closed" };
         self.line(&format!("run ends request={id} server={server} {end}"));
     }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -19,14 +19,30 @@
 /// How often a server looks whether the connection of a request that waits or runs has closed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// What a server does with a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// How long it works.
+    pub work: Duration,
+    /// Whether it works first and reads the rest of a long body then.
+    pub reads_late: bool,
+    /// The size of its answers, if they are long.
+    pub answer_bytes: usize,
+}
+
+impl Kind {
+    /// Reads a request, works on it and answers in short.
+    pub fn plain(work: Duration) -> Self {
+        Self { work, reads_late: false, answer_bytes: 0 }
+    }
+}
+
 /// A running server.
 pub struct Server {
     /// Its identifier.
     pub id: String,
     service: String,
-    work: Duration,
-    /// Whether it works on a request first and reads the rest of a long body then.
-    reads_late: bool,
+    kind: Kind,
     free: Mutex<usize>,
     freed: Condvar,
     waiting: AtomicUsize,
@@ -41,15 +57,14 @@
         id: &str,
         service: &str,
         zone: &str,
-        (work, reads_late): (Duration, bool),
+        kind: Kind,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
         let server = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
-            work,
-            reads_late,
+            kind,
             free: Mutex::new(SLOTS),
             freed: Condvar::new(),
             waiting: AtomicUsize::new(0),
@@ -62,7 +77,7 @@
                 std::thread::spawn(move || {
                     let mut conn = Conn::new(stream);
                     while let Ok(Some(mut request)) = conn.read_head() {
-                        if !server.reads_late && conn.read_body(&mut request, false).is_err() {
+                        if !server.kind.reads_late && conn.read_body(&mut request, false).is_err() {
                             break;
                         }
                         if !server.handle(&mut conn, &mut request) {
@@ -112,7 +127,7 @@
 
     /// Works on a request; returns whether the connection is still open at the end.
     fn work(&self, conn: &Conn) -> bool {
-        let mut left = self.work;
+        let mut left = self.kind.work;
         while !left.is_zero() {
             let step = left.min(CHECK_INTERVAL);
             std::thread::sleep(step);
@@ -130,7 +145,7 @@
         let echo = format!("foxtailrouter-request-id: {id}\r\n");
         let expected = request.header("foxtailrouter-expect-instance").to_owned();
         if !expected.is_empty() && expected != self.id {
-            if self.reads_late && conn.read_body(request, false).is_err() {
+            if self.kind.reads_late && conn.read_body(request, false).is_err() {
                 return false;
             }
             let headers = format!("{echo}foxtailrouter-instance-id: {}\r\n", self.id);
@@ -138,7 +153,7 @@
         }
         let is_health = request.method() == "GET" && request.target() == "/health";
         if self.waiting.load(Ordering::Relaxed) >= MAX_QUEUE {
-            if self.reads_late && conn.read_body(request, false).is_err() {
+            if self.kind.reads_late && conn.read_body(request, false).is_err() {
                 return false;
             }
             let headers = format!("{echo}foxtailrouter-not-executed: 1\r\n{}", self.load());
@@ -157,17 +172,21 @@
         }
         self.record.runs(&id, &self.id, request.body_len, request.body_sum);
         let mut open = self.work(conn);
-        if open && self.reads_late {
+        if open && self.kind.reads_late {
             open = conn.read_body(request, false).is_ok();
         }
-        self.release();
-        self.record.ran(&id, &self.id, open);
         if !open {
+            self.release();
+            self.record.ran(&id, &self.id, false);
             return false;
         }
         let seal = format!("foxtailrouter-server-seal: {}.{id}\r\n", self.id);
-        let body = format!("answer to {id} by {}\n", self.id);
+        let mut body = format!("answer to {id} by {}\n", self.id).into_bytes();
+        body.resize(body.len().max(self.kind.answer_bytes), b'.');
         let headers = format!("{echo}{seal}keep-alive: timeout=10\r\n{}", self.load());
-        conn.answer("200 OK", &headers, body.as_bytes()).is_ok()
+        let sent = conn.answer("200 OK", &headers, &body).is_ok();
+        self.release();
+        self.record.ran(&id, &self.id, sent);
+        sent
     }
 }
--- a/review/standin/stops.rs
+++ b/review/standin/stops.rs
@@ -14,7 +14,7 @@
 use crate::http::{Conn, Message};
 use crate::platform::Store;
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::{Kind, Server};
 
 /// The size of a long body; the desired state allows 64 MiB.
 const LONG_BYTES: usize = 400_000;
@@ -102,22 +102,10 @@
     store.put("op", "config", CONFIG);
     for n in 0..12 {
         let zone = ZONES[n % 2];
-        Server::start(
-            &store,
-            record,
-            &format!("i-s{n}"),
-            "solicitudes",
-            zone,
-            (LONG_WORK, trouble),
-        )?;
-        Server::start(
-            &store,
-            record,
-            &format!("i-a{n}"),
-            "inspecciones",
-            zone,
-            (SHORT_WORK, false),
-        )?;
+        let kind = Kind { reads_late: trouble, ..Kind::plain(LONG_WORK) };
+        Server::start(&store, record, &format!("i-s{n}"), "solicitudes", zone, kind)?;
+        let kind = Kind::plain(SHORT_WORK);
+        Server::start(&store, record, &format!("i-a{n}"), "inspecciones", zone, kind)?;
     }
     let mut machines = Vec::new();
     for n in 0..4 {
--- a/review/standin/uploads.rs
+++ b/review/standin/uploads.rs
@@ -13,7 +13,7 @@
 use crate::http::{Conn, add_sum};
 use crate::platform::Store;
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::{Kind, Server};
 
 /// The memory of a process, as in the platform's settings (`memory_mb`).
 const MEMORY_BYTES: u64 = 182 * 1024 * 1024;
@@ -109,10 +109,10 @@
     store.put("op", "config", CONFIG);
     for n in 0..12 {
         let zone = ZONES[n % 2];
-        let work = Duration::from_millis(840);
-        Server::start(&store, record, &format!("i-s{n}"), "solicitudes", zone, (work, false))?;
-        let work = Duration::from_millis(520);
-        Server::start(&store, record, &format!("i-a{n}"), "inspecciones", zone, (work, false))?;
+        let kind = Kind::plain(Duration::from_millis(840));
+        Server::start(&store, record, &format!("i-s{n}"), "solicitudes", zone, kind)?;
+        let kind = Kind::plain(Duration::from_millis(520));
+        Server::start(&store, record, &format!("i-a{n}"), "inspecciones", zone, kind)?;
     }
     let mut machines = Vec::new();
     for n in 0..4 {
