--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -23,11 +23,11 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = args.as_slice() else {
-        eprintln!("usage: foxtail-review CASE FOLDER");
+    let [_, case, folder, trouble] = args.as_slice() else {
+        eprintln!("usage: foxtail-review CASE FOLDER on|off");
         exit(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble == "on";
     let folder = Path::new(folder);
     let played = match case.as_str() {
         "downloads" => downloads::play(folder, trouble),
