--- a/foxtail-entry/src/attempt.rs
+++ b/foxtail-entry/src/attempt.rs
@@ -2,27 +2,23 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
-use foxtail_net::http::{Body, BodyError, full_body};
+use foxtail_net::http::{Body, full_body};
 use foxtail_steer::reachability::{Wait, WaitingRequest};
 use foxtail_steer::steering::{AttemptReport, Outcome};
 use foxtail_steer::{Route, Upstream};
 use foxtail_types::prelude::*;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::http::header::CONTENT_LENGTH;
 use hyper::http::{HeaderMap, Method, Uri};
 use hyper::{Request, Response, Version as HttpVersion};
-use tokio::time::{Instant, timeout_at};
 
 use crate::context::HostContext;
+use crate::liveness::{Silent, is_silence, while_alive};
 use crate::pool::Conn;
 use crate::ports::{DispatchInfo, ResponseInfo};
 use crate::relay::RelayFeedback;
-
-/// Responses of up to this many bytes are read completely before forwarding, so that the request
-/// can be retried at another upstream if the connection breaks in the middle.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 128 * 1024;
+use crate::request_body::{RequestBody, SentBody};
+use crate::response_body::{ResponseBody, chain_body, read_body};
 
 /// How long the body of a refusal is awaited so that its connection can be reused. It normally comes
 /// with the head.
@@ -36,7 +32,7 @@
     pub(crate) method: &'a Method,
     pub(crate) uri: &'a Uri,
     pub(crate) headers: &'a HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: &'a RequestBody,
     /// When the attempt is abandoned.
     pub(crate) deadline: Millis,
     /// Whether another host relayed the request and takes it back.
@@ -122,6 +118,7 @@
         Outcome::Unreachable => "unreachable",
         Outcome::Withdrawn => "withdrawn",
         Outcome::Broken => "broken",
+        Outcome::Silent => "silent",
         Outcome::TimedOut => "timed-out",
         Outcome::Cancelled => "cancelled",
     }
@@ -262,12 +259,18 @@
     guard: &mut AttemptGuard<'_>,
 ) -> AttemptOutcome {
     guard.sent = true;
-    let response = match conn.sender.try_send_request(build_request(cx, up, fwd)).await {
-        Ok(response) => response,
-        Err(mut e) => {
+    let silence_timeout = conn.prepare_for_body(fwd.body.len());
+    let sending = conn.send(build_request(cx, up, fwd));
+    let response = match while_alive(cx, up.addr, silence_timeout, sending).await {
+        Ok(Ok(response)) => response,
+        Err(Silent) => {
+            guard.report(Outcome::Silent, None);
+            return AttemptOutcome::MayHaveRun(Outcome::Silent);
+        }
+        Ok(Err(mut e)) => {
             // The library returns the request only if no byte of it was written.
             let unsent = e.take_message().is_some();
-            let outcome = if unsent { Outcome::Unreachable } else { Outcome::Broken };
+            let outcome = if unsent { Outcome::Unreachable } else { broken_outcome(e.error()) };
             guard.report(outcome, None);
             return if unsent {
                 AttemptOutcome::NotRun(outcome)
@@ -302,7 +305,7 @@
         return AttemptOutcome::NotRun(outcome);
     }
     let (head, body) = response.into_parts();
-    match read_body(body).await {
+    match read_body(&cx.memory, body).await {
         Ok(ResponseBody::Complete(bytes)) => {
             guard.report(Outcome::Answered, Some(&info));
             conn.idle_timeout = info.idle_timeout;
@@ -318,14 +321,20 @@
         Err(e) => {
             tracing::info!(event = "answer_broke_off", request = fwd.id, upstream = %up.id,
                 error = %e);
-            guard.report(Outcome::Broken, None);
-            AttemptOutcome::MayHaveRun(Outcome::Broken)
+            let outcome = broken_outcome(&e);
+            guard.report(outcome, None);
+            AttemptOutcome::MayHaveRun(outcome)
         }
     }
 }
 
+/// Returns the outcome of an attempt whose connection ended with `e`.
+fn broken_outcome(e: &hyper::Error) -> Outcome {
+    if is_silence(e) { Outcome::Silent } else { Outcome::Broken }
+}
+
 /// Returns the connection to the pool after a response which proves that the request did not run,
-/// if its body is complete within [`REFUSAL_BODY_TIMEOUT`] and [`MAX_BUFFERED_RESPONSE_BYTES`], and
+/// if its body is short and complete within [`REFUSAL_BODY_TIMEOUT`], and
 /// the address still belongs to this upstream.
 async fn return_to_pool(
     cx: &HostContext,
@@ -334,7 +343,8 @@
     info: &ResponseInfo,
     body: Incoming,
 ) {
-    let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT.duration(), read_body(body)).await;
+    let read =
+        tokio::time::timeout(REFUSAL_BODY_TIMEOUT.duration(), read_body(&cx.memory, body)).await;
     if let Ok(Ok(ResponseBody::Complete(_))) = read
         && !info.moved
     {
@@ -343,52 +353,7 @@
     }
 }
 
-/// A response body as far as it was read; a partial one comes with its remaining stream.
-pub(crate) enum ResponseBody {
-    Complete(Bytes),
-    Partial(Bytes, Incoming),
-}
-
-pub(crate) async fn read_body(mut body: Incoming) -> hyper::Result<ResponseBody> {
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            buf.extend_from_slice(&data);
-        }
-        if buf.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return Ok(ResponseBody::Partial(buf.freeze(), body));
-        }
-    }
-    Ok(ResponseBody::Complete(buf.freeze()))
-}
-
-/// Returns a body that consists of `start` followed by `rest`. It breaks off if `rest` does not end
-/// within `left`.
-pub(crate) fn chain_body(start: Bytes, rest: Incoming, left: Millis, request: &str) -> Body {
-    let first = futures::stream::once(async move { Ok(Frame::data(start)) });
-    let deadline = Instant::now() + left.duration();
-    let request = request.to_owned();
-    let rest = futures::stream::unfold(Some(rest.into_data_stream()), move |rest| {
-        let request = request.clone();
-        async move {
-            let mut rest = rest?;
-            match timeout_at(deadline, futures::StreamExt::next(&mut rest)).await {
-                Ok(data) => Some((data?.map(Frame::data).map_err(BodyError::from), Some(rest))),
-                Err(e) => {
-                    tracing::info!(event = "answer_cut_off", request);
-                    Some((Err(BodyError::from(e)), None))
-                }
-            }
-        }
-    });
-    StreamBody::new(futures::StreamExt::chain(first, rest)).boxed_unsync()
-}
-
-fn build_request(
-    cx: &HostContext,
-    up: &Upstream,
-    fwd: &ForwardedRequest<'_>,
-) -> Request<Full<Bytes>> {
+fn build_request(cx: &HostContext, up: &Upstream, fwd: &ForwardedRequest<'_>) -> Request<SentBody> {
     let mut req = fwd.to_request();
     let time_left = fwd.deadline.since(cx.now());
     cx.protocol.write_dispatch(req.headers_mut(), &DispatchInfo { upstream: &up.id, time_left });
@@ -397,8 +362,8 @@
 
 impl ForwardedRequest<'_> {
     /// Returns the request as the caller sent it, but for headers of its connection.
-    pub(crate) fn to_request(&self) -> Request<Full<Bytes>> {
-        let mut req = Request::new(Full::new(self.body.clone()));
+    pub(crate) fn to_request(&self) -> Request<SentBody> {
+        let mut req = Request::new(self.body.to_sent());
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.version_mut() = HttpVersion::HTTP_11;
--- a/foxtail-entry/src/context.rs
+++ b/foxtail-entry/src/context.rs
@@ -6,7 +6,7 @@
 use foxtail_net::Dial;
 use foxtail_place::BlockMap;
 use foxtail_steer::{
-    Fleet, NewsPacer, Reachability, Steering, Stop, StoreNews, Suspects, TransferLimit,
+    Deliveries, Fleet, NewsPacer, Reachability, Steering, Stop, StoreNews, Suspects, TransferLimit,
     UnconfirmedStrikes,
 };
 use foxtail_types::prelude::*;
@@ -17,6 +17,7 @@
 
 use crate::knowledge::StoreReplica;
 use crate::lookup::Directory;
+use crate::memory::MemoryAccount;
 use crate::metrics::Metrics;
 use crate::node::Ports;
 use crate::pool::Pool;
@@ -67,8 +68,10 @@
     pub(crate) lifecycle: Lifecycle,
     /// The number of callers' requests received since the start.
     pub(crate) requests: AtomicU64,
-    /// The total size of request bodies in memory, in bytes.
-    pub(crate) buffered_body_bytes: AtomicU64,
+    /// The memory that is held for callers, upstreams and other hosts.
+    pub(crate) memory: Arc<MemoryAccount>,
+    /// What is known of how long responses take to reach their callers.
+    pub(crate) deliveries: Mutex<Deliveries>,
     /// When the task that sends digests ran last, in milliseconds.
     pub(crate) last_tick: AtomicU64,
     /// The facts that are being sent to other hosts.
@@ -103,6 +106,7 @@
     pub(crate) fn new(settings: Settings, blocks: BlockMap, ports: Ports) -> Self {
         let Ports { dial, clock, protocol, store } = ports;
         let started = clock.now();
+        let memory = MemoryAccount::new(settings.memory_bytes(), Arc::clone(&clock));
         let mut store_news = StoreNews::default();
         store_news.record(started);
         Self {
@@ -129,13 +133,14 @@
             view_confirmed: Notify::new(),
             view_old: Notify::new(),
             tasks: TaskTracker::new(),
-            pool: Pool::new(Arc::clone(&dial)),
-            relay_pool: Pool::new(Arc::clone(&dial)),
+            pool: Pool::new(Arc::clone(&dial), Arc::clone(&memory)),
+            relay_pool: Pool::new(Arc::clone(&dial), Arc::clone(&memory)),
+            memory,
             dial,
             metrics: Metrics::new(),
             lifecycle: Lifecycle::default(),
             requests: AtomicU64::new(0),
-            buffered_body_bytes: AtomicU64::new(0),
+            deliveries: Mutex::default(),
             last_tick: AtomicU64::new(started.0),
             transfers: Mutex::default(),
             registered_version: AtomicU64::new(0),
--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! Adapters to the platform implement the traits in [`ports`]; `foxtail-steer` decides which
 //! upstream a request goes to. [`Host::start`] starts a host, [`Host::stop`] stops it gracefully.
 
+mod answer_guard;
 mod attempt;
 mod caller_stream;
 mod context;
@@ -11,8 +12,10 @@
 mod gossip;
 mod knowledge;
 mod limits;
+mod liveness;
 pub mod log;
 mod lookup;
+mod memory;
 pub mod message;
 mod metrics;
 mod node;
@@ -28,7 +31,9 @@
 mod relay;
 mod replica;
 mod request;
+mod request_body;
 mod request_log;
+mod response_body;
 mod serve;
 pub mod settings;
 mod share;
--- a/foxtail-entry/src/lookup.rs
+++ b/foxtail-entry/src/lookup.rs
@@ -125,6 +125,7 @@
     cx.metrics.set_view_age("operators", cx.view_age(Area::Operators));
     cx.metrics.set_view_age("upstreams", cx.view_age(Area::Upstreams));
     cx.metrics.set_gauges(hosts, upstreams, strikes);
+    cx.metrics.set_memory(cx.memory.usage());
     cx.metrics.set_named_limits(named_limits);
     cx.metrics.set_noticed(leaving, paused);
     cx.metrics.set_upstreams_lost(cx.reachability.lock().is_lost());
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
 use crate::control_traffic::ControlTraffic;
+use crate::memory::Usage;
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 14] =
@@ -26,6 +27,11 @@
     lookups: Counter<u64>,
     digests: Counter<u64>,
     view_age: Gauge<u64>,
+    memory_held: Gauge<u64>,
+    memory_limit: Gauge<u64>,
+    memory_waiting: Gauge<u64>,
+    memory_refusals: Gauge<u64>,
+    memory_waits: Gauge<u64>,
     hosts: Gauge<u64>,
     upstreams: Gauge<u64>,
     strikes: Gauge<u64>,
@@ -65,6 +71,23 @@
                 .u64_gauge("view_age_milliseconds")
                 .with_description("how long ago the view of the store was known to lack nothing")
                 .build(),
+            memory_held: meter
+                .u64_gauge("memory_held_bytes")
+                .with_description("reserved for requests, responses and connections")
+                .build(),
+            memory_limit: meter.u64_gauge("memory_limit_bytes").build(),
+            memory_waiting: meter
+                .u64_gauge("memory_waiting")
+                .with_description("request bodies that wait for memory")
+                .build(),
+            memory_refusals: meter
+                .u64_gauge("memory_refusals")
+                .with_description("how often memory was refused since the start")
+                .build(),
+            memory_waits: meter
+                .u64_gauge("memory_waits")
+                .with_description("how often a request body waited for memory since the start")
+                .build(),
             hosts: meter.u64_gauge("hosts_alive").build(),
             upstreams: meter.u64_gauge("upstreams_registered").build(),
             strikes: meter.u64_gauge("strikes_kept").build(),
@@ -171,6 +194,15 @@
         self.paused_upstreams.record(paused as u64, &[]);
     }
 
+    pub(crate) fn set_memory(&self, usage: Usage) {
+        let Usage { held, limit, waiting, refusals, waits } = usage;
+        self.memory_held.record(held, &[]);
+        self.memory_limit.record(limit, &[]);
+        self.memory_waiting.record(waiting as u64, &[]);
+        self.memory_refusals.record(refusals, &[]);
+        self.memory_waits.record(waits, &[]);
+    }
+
     pub(crate) fn set_view_age(&self, area: &'static str, age: Millis) {
         self.view_age.record(age.0, &[KeyValue::new("area", area)]);
     }
--- a/foxtail-entry/src/node.rs
+++ b/foxtail-entry/src/node.rs
@@ -136,6 +136,7 @@
             Err(e) => tracing::warn!(event = "blocks_rejected", error = %e),
         }
         self.cx.steering.lock().set_options(settings.steering_options());
+        self.cx.memory.set_grant(settings.memory_bytes());
         *self.cx.settings.lock() = Arc::new(settings);
     }
 
--- a/foxtail-entry/src/pool.rs
+++ b/foxtail-entry/src/pool.rs
@@ -6,15 +6,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
-use foxtail_net::Dial;
+use foxtail_net::{Dial, SilenceTimeout};
 use foxtail_types::prelude::*;
-use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio_util::task::TaskTracker;
 
+use crate::answer_guard::{AnswerGuard, GuardedStream};
+use crate::memory::{CONNECTION_BYTES, MemoryAccount};
+use crate::request_body::SentBody;
+
 /// How long an idle connection is reused if the server announces no idle timeout.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(4_000);
 
@@ -36,22 +41,42 @@
 
 /// An HTTP connection to an upstream or another host.
 pub(crate) struct Conn {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<SentBody>,
     /// The idle timeout that the server announced.
     pub(crate) idle_timeout: Option<Millis>,
     /// Whether no answer came on the connection yet.
     pub(crate) is_new: bool,
+    /// Ends the connection if too much comes before an answer.
+    pub(crate) answer_guard: AnswerGuard,
+    /// Changes how the connection notices that its server went silent, if it can.
+    pub(crate) silence_timeout: Option<SilenceTimeout>,
     idle_since: Millis,
 }
 
 /// Idle connections by their server, which `Id` names.
 pub(crate) struct Pool<Id> {
     dial: Arc<dyn Dial>,
+    memory: Arc<MemoryAccount>,
     idle: Mutex<HashMap<Id, Vec<Conn>>>,
     tasks: TaskTracker,
 }
 
 impl Conn {
+    /// Sends `req` and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request if no byte of it was written.
+    pub(crate) async fn send(
+        &mut self,
+        mut req: Request<SentBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<SentBody>>> {
+        self.answer_guard.await_answer(&mut req);
+        let response = self.sender.try_send_request(req).await;
+        self.answer_guard.record_answer();
+        response
+    }
+
     fn is_usable(&self, idempotent: bool, now: Millis) -> bool {
         let idle = now.since(self.idle_since);
         let announced =
@@ -63,8 +88,8 @@
 }
 
 impl<Id: Clone + Eq + Hash> Pool<Id> {
-    pub(crate) fn new(dial: Arc<dyn Dial>) -> Self {
-        Self { dial, idle: Mutex::default(), tasks: TaskTracker::new() }
+    pub(crate) fn new(dial: Arc<dyn Dial>, memory: Arc<MemoryAccount>) -> Self {
+        Self { dial, memory, idle: Mutex::default(), tasks: TaskTracker::new() }
     }
 
     /// Removes and returns the most recently used idle connection to `to` that the request may
@@ -103,18 +128,28 @@
 
     /// Opens a new connection to `addr`.
     pub(crate) async fn connect(&self, addr: SocketAddr, now: Millis) -> io::Result<Conn> {
-        let stream = self.dial.dial(addr).await?;
+        let (stream, silence_timeout) = self.dial.dial_adjustable(addr).await?;
+        let charge = self.memory.charge(CONNECTION_BYTES);
+        let answer_guard = AnswerGuard::default();
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(GuardedStream::new(stream, &answer_guard)))
             .await
             .map_err(io::Error::other)?;
         self.tasks.spawn(async move {
+            let _charge = charge;
             if let Err(e) = conn.await {
                 tracing::trace!(event = "connection_ended", %addr, error = %e);
             }
         });
-        Ok(Conn { sender, idle_timeout: None, is_new: true, idle_since: now })
+        Ok(Conn {
+            sender,
+            idle_timeout: None,
+            is_new: true,
+            answer_guard,
+            silence_timeout,
+            idle_since: now,
+        })
     }
 
     /// Closes all idle connections and waits until the others end.
--- a/foxtail-entry/src/probe.rs
+++ b/foxtail-entry/src/probe.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use foxtail_steer::Upstream;
 use foxtail_steer::reachability::{
     Change, PROBE_INTERVAL, PROBE_TIMEOUT, ProbeOutcome, ProbeReasons,
@@ -11,13 +10,14 @@
 use foxtail_types::prelude::*;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::http::header::HOST;
 
-use crate::attempt::{ResponseBody, connect, read_body};
+use crate::attempt::connect;
 use crate::context::HostContext;
 use crate::ports::DispatchInfo;
+use crate::request_body::SentBody;
+use crate::response_body::{ResponseBody, read_body};
 
 /// Probes upstreams while the host may have lost them, until the host ends.
 pub(crate) async fn watch_upstreams(cx: Arc<HostContext>) {
@@ -116,14 +116,14 @@
             return ProbeOutcome::Failed;
         }
     };
-    let req = Request::get(path).header(HOST, up.addr.to_string()).body(Full::<Bytes>::default());
+    let req = Request::get(path).header(HOST, up.addr.to_string()).body(SentBody::default());
     let Ok(mut req) = req else { return ProbeOutcome::Unanswered };
     let dispatch = DispatchInfo { upstream: &up.id, time_left: PROBE_TIMEOUT };
     cx.protocol.write_dispatch(req.headers_mut(), &dispatch);
-    let response = match conn.sender.send_request(req).await {
+    let response = match conn.send(req).await {
         Ok(response) => response,
         Err(e) => {
-            tracing::debug!(event = "probe_failed", upstream = %up.id, error = %e);
+            tracing::debug!(event = "probe_failed", upstream = %up.id, error = %e.error());
             return ProbeOutcome::Failed;
         }
     };
@@ -132,7 +132,7 @@
     if info.moved {
         return ProbeOutcome::Answered;
     }
-    if let Ok(ResponseBody::Complete(_)) = read_body(response.into_body()).await {
+    if let Ok(ResponseBody::Complete(_)) = read_body(&cx.memory, response.into_body()).await {
         conn.is_new = false;
         conn.idle_timeout = info.idle_timeout;
         cx.pool.put(&up.id, conn, cx.now());
@@ -152,7 +152,7 @@
     ) {
         let answered =
             matches!(outcome, Outcome::Answered | Outcome::Shed | Outcome::WrongInstance);
-        let failed = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+        let failed = matches!(outcome, Outcome::Unreachable | Outcome::Broken | Outcome::Silent);
         let suspected = {
             let mut reachability = self.reachability.lock();
             reachability.record_ended(answered, now);
--- a/foxtail-entry/src/relay.rs
+++ b/foxtail-entry/src/relay.rs
@@ -6,7 +6,6 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
-use bytes::Bytes;
 use foxtail_net::http::{Body, full_body};
 use foxtail_steer::Route;
 use foxtail_steer::notice::NoticeReport;
@@ -15,17 +14,19 @@
 use foxtail_steer::steering::Outcome;
 use foxtail_types::prelude::*;
 use foxtail_types::reason::Reason;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::header::RETRY_AFTER;
 use hyper::http::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use parking_lot::Mutex;
 
-use crate::attempt::{ForwardedRequest, ResponseBody, chain_body, outcome_name, read_body};
+use crate::attempt::{ForwardedRequest, outcome_name};
 use crate::context::HostContext;
+use crate::liveness::{Silent, while_alive};
 use crate::pool::Conn;
 use crate::refusal::Refusal;
+use crate::request_body::SentBody;
+use crate::response_body::{ResponseBody, chain_body, read_body};
 
 /// Describes a relayed request as [`RelayedRequest`] in JSON. In responses to it, the value is the name
 /// of a [`Disposition`] and, if upstreams said something of themselves and the first host wants to know,
@@ -288,8 +289,14 @@
         Err(e) => return Offer::NotSent(std::io::Error::other(e)),
     };
     let left = relayed.time_left.duration();
-    let exchanged = tokio::time::timeout(left, exchange(cx, fwd, host, conn, req)).await;
-    exchanged.unwrap_or(Offer::MayHaveRun(Outcome::TimedOut))
+    let silence_timeout = conn.prepare_for_body(fwd.body.len());
+    let exchange = exchange(cx, fwd, host, conn, req);
+    let exchange = while_alive(cx, addr, silence_timeout, exchange);
+    match tokio::time::timeout(left, exchange).await {
+        Ok(Ok(offer)) => offer,
+        Ok(Err(Silent)) => Offer::MayHaveRun(Outcome::Silent),
+        Err(_) => Offer::MayHaveRun(Outcome::TimedOut),
+    }
 }
 
 async fn exchange(
@@ -297,9 +304,9 @@
     fwd: &ForwardedRequest<'_>,
     host: &HostId,
     mut conn: Conn,
-    req: Request<Full<Bytes>>,
+    req: Request<SentBody>,
 ) -> Offer {
-    let response = match conn.sender.try_send_request(req).await {
+    let response = match conn.send(req).await {
         Ok(response) => response,
         // The library returns the request only if no byte of it was written.
         Err(mut e) => match e.take_message() {
@@ -326,7 +333,7 @@
 fn relay_request(
     fwd: &ForwardedRequest<'_>,
     relayed: &RelayedRequest,
-) -> anyhow::Result<Request<Full<Bytes>>> {
+) -> anyhow::Result<Request<SentBody>> {
     let mut req = fwd.to_request();
     let value = HeaderValue::from_bytes(&serde_json::to_vec(relayed)?)?;
     req.headers_mut().insert(RELAY, value);
@@ -350,7 +357,7 @@
     for report in &notices {
         cx.record_notice_report(report, host.as_str());
     }
-    match read_body(body).await {
+    match read_body(&cx.memory, body).await {
         Ok(ResponseBody::Complete(bytes)) => {
             let limits = cx.steering.lock().config().map(|cfg| cfg.limits).unwrap_or_default();
             conn.idle_timeout = Some(limits.idle_timeout);
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
 use foxtail_net::http::Body;
 use foxtail_steer::relay::{HandedBack, RelayedRequest};
 use foxtail_steer::steering::{Outcome, Placement, Request as PlacementRequest};
@@ -13,7 +12,6 @@
 use foxtail_steer::{Config, Route};
 use foxtail_types::prelude::*;
 use foxtail_types::reason::Reason;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
@@ -24,10 +22,13 @@
 
 use crate::attempt::{AttemptOutcome, ForwardedRequest, attempt};
 use crate::context::HostContext;
+use crate::memory::{OutOfMemory, REQUEST_BYTES};
 use crate::past_attempts::{PastAttempts, SHED_RETRY_AFTER};
 use crate::refusal::Refusal;
 use crate::relay::{self, RelayFeedback, RelayOutcome};
+use crate::request_body::{Error, RequestBody, discard};
 use crate::request_log::RequestLog;
+use crate::response_body::record_delivery;
 
 /// The timeout of a request whose caller sends none.
 const DEFAULT_TIMEOUT: Millis = Millis::secs(30);
@@ -44,8 +45,9 @@
 /// `Retry-After` when no upstream may take the request.
 const NO_UPSTREAM_RETRY_AFTER: Millis = Millis(250);
 
-/// The maximum total size of the request bodies in memory, in bytes.
-const MAX_BUFFERED_BODY_BYTES: u64 = 48 * 1024 * 1024;
+/// The longest time for which the rest of a refused request's body is read, so that the caller gets the
+/// refusal.
+const MAX_DISCARD_TIME: Millis = Millis::secs(10);
 
 /// Headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 6] =
@@ -58,7 +60,7 @@
 /// A request that was read and may be forwarded.
 struct IncomingRequest<'a> {
     head: &'a Parts,
-    body: Bytes,
+    body: &'a RequestBody,
     /// The caller's address.
     caller: IpAddr,
     fingerprints: Fingerprints,
@@ -83,7 +85,7 @@
     from: IpAddr,
 ) -> Response<Body> {
     let arrived = cx.now();
-    let (mut head, body) = req.into_parts();
+    let (mut head, mut body) = req.into_parts();
     let relayed = relay::take_relayed(&cx, &mut head.headers, from);
     let feedback = RelayFeedback::default();
     let mut response = match &relayed {
@@ -91,12 +93,14 @@
             let caller = (relayed.caller, Some(relayed));
             cx.reachability.lock().record_relayed(arrived);
             cx.check_reachability(arrived);
-            let served = serve(&cx, (head, body), caller, &feedback, arrived).await;
+            let served = serve(&cx, (&mut head, &mut body), caller, &feedback, arrived).await;
+            discard_rest(&cx, &served, (&head, body), arrived);
             relay::mark_response(&cx, served, relayed, feedback)
         }
         None => {
             cx.requests.fetch_add(1, Ordering::Relaxed);
-            let served = serve(&cx, (head, body), (from, None), &feedback, arrived).await;
+            let served = serve(&cx, (&mut head, &mut body), (from, None), &feedback, arrived).await;
+            discard_rest(&cx, &served, (&head, body), arrived);
             let mut response = served.unwrap_or_else(|refusal| refusal.response());
             relay::strip_mark(&mut response);
             response
@@ -110,7 +114,7 @@
 
 async fn serve(
     cx: &Arc<HostContext>,
-    (mut head, body): (Parts, Incoming),
+    (head, body): (&mut Parts, &mut Incoming),
     (caller, relayed): (IpAddr, Option<&RelayedRequest>),
     feedback: &RelayFeedback,
     arrived: Millis,
@@ -130,7 +134,7 @@
         }
     };
     let mut request_log = RequestLog { info: &info, arrived, attempts: 0, version: cfg.version };
-    let Some(route) = find_route(&cfg, &head) else {
+    let Some(route) = find_route(&cfg, head) else {
         let refusal = Refusal::invalid(StatusCode::NOT_FOUND, Reason::UnknownService);
         request_log.record_refusal(cx, "-", &refusal, None);
         return Err(refusal);
@@ -141,9 +145,11 @@
     let deadline = cx.lifecycle.stop.get().map_or(deadline, |stop| deadline.min(stop.cut_off_at));
     let body = read_body(cx, body, cfg.limits.body_bytes, deadline).await;
     let body = body.inspect_err(|refusal| request_log.record_refusal(cx, "-", refusal, None))?;
+    let reservation = cx.memory.try_reserve(REQUEST_BYTES).map_err(out_of_memory);
+    let reservation =
+        reservation.inspect_err(|refusal| request_log.record_refusal(cx, "-", refusal, None))?;
     strip_connection_headers(&mut head.headers);
-    let buffered = BufferedBody::new(cx, body.len() as u64);
-    let fingerprints = fingerprints_of(caller, &head, &body);
+    let fingerprints = fingerprints_of(caller, head, &body);
     if let Some((fingerprint, retry_after)) = cx.barred_for(fingerprints, arrived)
         && !cx.begin_trial(&info.id, fingerprints, arrived)
     {
@@ -153,10 +159,31 @@
         request_log.record_refusal(cx, "-", &refusal, None);
         return Err(refusal);
     }
-    let incoming = IncomingRequest { head: &head, body, caller, fingerprints, relayed, feedback };
-    let result = forward(cx, &mut request_log, route, incoming, deadline).await;
-    drop(buffered);
-    result
+    let incoming = IncomingRequest { head, body: &body, caller, fingerprints, relayed, feedback };
+    let response = forward(cx, &mut request_log, route, incoming, deadline).await?;
+    Ok(record_delivery(cx, response, (&route.name, caller), reservation))
+}
+
+/// Reads on in the body of a request that was refused, in the background and until its deadline.
+fn discard_rest(
+    cx: &Arc<HostContext>,
+    served: &Result<Response<Body>, Refusal>,
+    (head, body): (&Parts, Incoming),
+    arrived: Millis,
+) {
+    if served.is_ok() || hyper::body::Body::is_end_stream(&body) {
+        return;
+    }
+    let timeout = cx.protocol.parse_request(&head.headers).ok().and_then(|info| info.timeout);
+    let left = (arrived + timeout.unwrap_or(DEFAULT_TIMEOUT)).since(cx.now());
+    let left = left.min(MAX_DISCARD_TIME);
+    let ended = cx.lifecycle.ended.clone();
+    cx.tasks.spawn(async move {
+        let discarding = tokio::time::timeout(left.duration(), discard(body));
+        if let Some(Err(_)) = ended.run_until_cancelled(discarding).await {
+            tracing::debug!(event = "body_not_discarded");
+        }
+    });
 }
 
 /// Returns the requested host name, including the port if there is one.
@@ -171,34 +198,38 @@
     cfg.route(name, head.uri.path())
 }
 
-fn fingerprints_of(caller: IpAddr, head: &Parts, body: &[u8]) -> Fingerprints {
+fn fingerprints_of(caller: IpAddr, head: &Parts, body: &RequestBody) -> Fingerprints {
     let host = host_name(head).unwrap_or_default();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    Fingerprints::new(&caller.to_string(), head.method.as_str(), host, path, body)
+    Fingerprints::new(&caller.to_string(), head.method.as_str(), host, path, body.parts())
 }
 
 /// Reads the request body, up to `max_bytes` and until `deadline`.
 async fn read_body(
     cx: &HostContext,
-    body: Incoming,
+    body: &mut Incoming,
     max_bytes: usize,
     deadline: Millis,
-) -> Result<Bytes, Refusal> {
-    let declared = hyper::body::Body::size_hint(&body).lower();
-    if cx.buffered_body_bytes.load(Ordering::Relaxed) + declared > MAX_BUFFERED_BODY_BYTES {
-        return Err(Refusal::not_run(Reason::Overloaded, SHED_RETRY_AFTER));
-    }
-    let left = deadline.since(cx.now()).duration();
-    match tokio::time::timeout(left, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+) -> Result<RequestBody, Refusal> {
+    let left = deadline.since(cx.now());
+    let reading = RequestBody::read(&cx.memory, body, max_bytes, left);
+    match tokio::time::timeout(left.duration(), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(Error::TooLarge)) => {
             Err(Refusal::invalid(StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge))
         }
-        Ok(Err(_)) => Err(Refusal::invalid(StatusCode::BAD_REQUEST, Reason::BadRequest)),
+        Ok(Err(Error::OutOfMemory(e))) => Err(out_of_memory(e)),
+        Ok(Err(Error::BrokenOff(_))) => {
+            Err(Refusal::invalid(StatusCode::BAD_REQUEST, Reason::BadRequest))
+        }
         Err(_) => Err(Refusal::not_run(Reason::DeadlinePassed, SHED_RETRY_AFTER)),
     }
 }
 
+fn out_of_memory(e: OutOfMemory) -> Refusal {
+    Refusal::not_run(Reason::OutOfMemory, e.retry_after.max(SHED_RETRY_AFTER))
+}
+
 /// Removes hop-by-hop headers, those that `Connection` lists, and `Content-Length`.
 fn strip_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -315,7 +346,7 @@
             }
         };
         if let Some(stop) = cx.lifecycle.stop.get()
-            && !stop.can_finish(&estimate, now)
+            && !stop.can_finish(&estimate, cx.expected_delivery(route, caller, now), now)
         {
             break attempts.final_refusal(Reason::Stopping, STOPPING_RETRY_AFTER);
         }
@@ -376,6 +407,13 @@
     Err(refusal)
 }
 
+impl HostContext {
+    /// Returns how long passing on the response to a request of `caller` may take.
+    fn expected_delivery(&self, route: &Route, caller: IpAddr, now: Millis) -> Millis {
+        self.deliveries.lock().expected(&route.name, caller, now)
+    }
+}
+
 /// Selects the service for a request and counts the request in the service's retry budget, unless
 /// the host that relayed the request has done so.
 fn select_service(
@@ -455,22 +493,3 @@
     strip_connection_headers(response.headers_mut());
     response
 }
-
-/// Counts a request body in [`HostContext::buffered_body_bytes`] until it is dropped.
-struct BufferedBody<'a> {
-    cx: &'a HostContext,
-    bytes: u64,
-}
-
-impl<'a> BufferedBody<'a> {
-    fn new(cx: &'a HostContext, bytes: u64) -> Self {
-        cx.buffered_body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        Self { cx, bytes }
-    }
-}
-
-impl Drop for BufferedBody<'_> {
-    fn drop(&mut self) {
-        self.cx.buffered_body_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -18,6 +18,7 @@
 
 use crate::caller_stream::CallerStream;
 use crate::context::HostContext;
+use crate::memory::CONNECTION_BYTES;
 use crate::{lookup, request};
 
 /// The length of the listen queue: connections that arrive at the same moment.
@@ -112,6 +113,7 @@
     }
     let limits = cx.steering.lock().config().map(|cfg| cfg.limits).unwrap_or_default();
     let closing = cx.lifecycle.closing.clone();
+    let _charge = cx.memory.charge(CONNECTION_BYTES);
     let stream = CallerStream::new(stream);
     let service = service_fn(|req: Request<Incoming>| {
         let (cx, stream) = (Arc::clone(&cx), stream.clone());
--- a/foxtail-entry/src/settings.rs
+++ b/foxtail-entry/src/settings.rs
@@ -7,12 +7,19 @@
 use anyhow::Context;
 use foxtail_place::{Block, BlockMap, Location, LocationIndex, map};
 use foxtail_steer::fleet::HostRecord;
+use foxtail_steer::memory::MIN_GRANT_BYTES;
 use foxtail_steer::{retry, steering};
 use foxtail_types::prelude::*;
 use garde::Validate;
 use ipnet::IpNet;
 use serde::{Deserialize, Serialize};
 
+/// Bytes in the unit of [`Settings::memory_mb`].
+const MEGABYTE: f64 = 1_000_000.0;
+
+/// The least memory with which the program serves callers, in megabytes.
+const MIN_MEMORY_MB: f64 = MIN_GRANT_BYTES as f64 / MEGABYTE;
+
 /// The settings of one entry host. Unknown fields are errors.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -74,6 +81,10 @@
     /// seconds.
     #[garde(range(min = 0.01, max = 1.0))]
     pub shift_cap: f64,
+    /// The memory that the platform grants the process, in megabytes of 1,000,000 bytes.
+    #[garde(range(min = MIN_MEMORY_MB, max = 1_000_000.0))]
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
 }
 
 /// A block of callers' addresses and their location.
@@ -111,6 +122,11 @@
     1.4
 }
 
+/// Returns the memory of the smallest hosts in use.
+fn default_memory_mb() -> f64 {
+    112.0
+}
+
 fn is_known_zone(
     zones: &BTreeMap<ZoneId, RegionId>,
 ) -> impl FnOnce(&ZoneId, &()) -> garde::Result + '_ {
@@ -202,6 +218,11 @@
         millis(self.stop_s)
     }
 
+    /// Returns the memory that the platform grants the process, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        (self.memory_mb * MEGABYTE) as u64
+    }
+
     /// Returns how long callers may cache the response to a look-up.
     pub fn lookup_ttl(&self) -> Millis {
         millis(self.lookup_ttl_s)
--- a/foxtail-entry/src/share.rs
+++ b/foxtail-entry/src/share.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::io::InspectWriter;
 
@@ -22,6 +23,10 @@
 /// than that host waits, and counts from when the last bytes were handed to the operating system.
 const SERVE_STALL_TIMEOUT: Millis = Millis(1_000);
 
+/// The most bytes that a host sends on a connection to pull, in bytes: one request, which names an area and a
+/// version.
+const MAX_PULL_REQUEST_BYTES: u64 = 4 * 1024;
+
 /// Size from which a completed transfer of facts is logged, in bytes. Smaller ones are frequent and
 /// cost little.
 pub(crate) const LOGGED_TRANSFER_BYTES: u64 = 16 * 1024;
@@ -91,7 +96,9 @@
     let started = cx.now();
     let at_once = cx.pull_conns.fetch_add(1, Ordering::Relaxed) + 1;
     let sent = Arc::new(AtomicU64::new(0));
-    let stream = InspectWriter::new(stream, byte_counter(&sent));
+    let (reader, writer) = stream.into_split();
+    let writer = InspectWriter::new(writer, byte_counter(&sent));
+    let stream = tokio::io::join(reader.take(MAX_PULL_REQUEST_BYTES), writer);
     let channel = BaseChannel::with_defaults(foxtail_frame::transport(stream));
     let server = Server { cx: Arc::clone(&cx), transfers: Arc::default() };
     let serving = channel.execute(server.serve()).for_each(|response| response);
--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -125,6 +125,7 @@
             refuse_factor: 1.4,
             blocks: Vec::new(),
             shift_cap: 0.15,
+            memory_mb: 112.0,
         };
         let ports = Ports {
             dial,
--- a/foxtail-entry/tests/stopping.rs
+++ b/foxtail-entry/tests/stopping.rs
@@ -7,7 +7,8 @@
 use common::{TestSite, exchange, exchange_on, request};
 use foxtail_entry::Host;
 use foxtail_standin::caller::Answer;
-use foxtail_standin::upstream::UpstreamServer;
+use foxtail_standin::upstream::{Behavior, UpstreamServer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// The stop timeout of hosts in tests is 2 s, of which they take new requests for 1.1 s.
@@ -120,3 +121,57 @@
     stopping.await.unwrap();
     assert!(started.elapsed() < Duration::from_millis(2_000), "{:?}", started.elapsed());
 }
+
+/// A response that a caller takes longer to read than what is left of a stop. Most of it does not fit into the
+/// socket buffers.
+const LONG_ANSWER_BYTES: usize = 16_000_000;
+const LINE_BYTES_PER_MS: usize = 8_000;
+
+/// Sends a request and reads the answer at the speed of a slow line. Returns the start of the answer, and how
+/// many bytes came in all.
+async fn read_slowly(conn: &mut TcpStream, id: &str) -> (String, usize) {
+    conn.write_all(request("GET", "/read/1", id, 6_000, "").as_bytes()).await.unwrap();
+    let (mut start, mut len) = (String::new(), 0);
+    let mut buf = vec![0; 16 * LINE_BYTES_PER_MS];
+    while let Ok(Ok(read @ 1..)) = tokio::time::timeout(IDLE_TIME, conn.read(&mut buf)).await {
+        if len == 0 {
+            start = String::from_utf8_lossy(&buf[..read.min(400)]).into_owned();
+        }
+        len += read;
+        if len >= LONG_ANSWER_BYTES {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis((read / LINE_BYTES_PER_MS) as u64)).await;
+    }
+    (start, len)
+}
+
+/// When an answer is taken to be over.
+const IDLE_TIME: Duration = Duration::from_millis(500);
+
+#[tokio::test]
+async fn a_stopping_host_refuses_what_it_can_not_pass_on_in_time() {
+    let Stopping { host, ups, .. } = site(Duration::from_millis(50)).await;
+    ups.iter().for_each(|up| up.set_behavior(Behavior::AnswerOf(LONG_ANSWER_BYTES)));
+    let caller = host.settings().caller;
+    let connect = || async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        // A small window, so that the host has to hold back what the caller does not read.
+        socket.set_recv_buffer_size(64 * 1024).unwrap();
+        socket.connect(caller).await.expect("can't connect")
+    };
+    let mut conns = [connect().await, connect().await, connect().await];
+    let (start, len) = read_slowly(&mut conns[0], "before").await;
+    assert!(start.starts_with("HTTP/1.1 200"), "{start}");
+    assert!(len >= LONG_ANSWER_BYTES);
+
+    let stopping = tokio::spawn(host.stop());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for (n, conn) in conns.iter_mut().enumerate() {
+        let id = format!("late-{n}");
+        let (start, _) = read_slowly(conn, &id).await;
+        assert!(start.starts_with("HTTP/1.1 503"), "{id}: {start}");
+        assert!(!has_run(&ups, &id), "{id} has run");
+    }
+    stopping.await.unwrap();
+}
--- a/foxtail-entry/tests/versions.rs
+++ b/foxtail-entry/tests/versions.rs
@@ -107,7 +107,7 @@
     assert_eq!((message.limits.len(), digest.answers.len()), (1, 1));
     assert_eq!(message.leaving, None, "it does not know notices");
     // Strikes of hosts of both versions count together.
-    let request = Fingerprints::new("10.9.0.1", "GET", "svc.example", "/bad", b"body");
+    let request = Fingerprints::new("10.9.0.1", "GET", "svc.example", "/bad", [&b"body"[..]]);
     assert_eq!(digest.strikes[0].request, request.of_caller);
 }
 
--- a/foxtail-frame/src/lib.rs
+++ b/foxtail-frame/src/lib.rs
@@ -9,8 +9,8 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// The maximum size of a frame between hosts; a whole configuration must fit.
-const MAX_FRAME_BYTES: usize = 16 << 20;
+/// The maximum size of a frame between hosts. All registrations at the target size take a third of it.
+const MAX_FRAME_BYTES: usize = 8 << 20;
 
 /// The postcard encoding for the traits of `tokio-serde`.
 #[derive(Clone, Copy, Debug, Default)]
--- a/foxtail-net/src/dial.rs
+++ b/foxtail-net/src/dial.rs
@@ -11,6 +11,8 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
+use crate::adjustable::{self, SilenceTimeout};
+
 /// A byte stream in both directions.
 pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
 
@@ -27,6 +29,19 @@
     /// The error that the operating system reports, for example for a refused connection, or
     /// [`io::ErrorKind::TimedOut`] if an implementation limits the time.
     async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>>;
+
+    /// Connects to `to` as [`Dial::dial`] does, and returns with the connection what changes its timeout
+    /// for unacknowledged bytes, if it has one.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`Dial::dial`].
+    async fn dial_adjustable(
+        &self,
+        to: SocketAddr,
+    ) -> io::Result<(Box<dyn Stream>, Option<SilenceTimeout>)> {
+        Ok((self.dial(to).await?, None))
+    }
 }
 
 /// Plain TCP without Nagle's algorithm, so that small writes are sent at once.
@@ -65,6 +80,21 @@
 #[async_trait]
 impl Dial for KeepaliveDial {
     async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        Ok(Box::new(self.connect(to).await?))
+    }
+
+    async fn dial_adjustable(
+        &self,
+        to: SocketAddr,
+    ) -> io::Result<(Box<dyn Stream>, Option<SilenceTimeout>)> {
+        let (stream, timeout) =
+            adjustable::stream(self.connect(to).await?, self.unacknowledged_timeout);
+        Ok((Box::new(stream), Some(timeout)))
+    }
+}
+
+impl KeepaliveDial {
+    async fn connect(&self, to: SocketAddr) -> io::Result<TcpStream> {
         let connecting = TcpStream::connect(to);
         let stream = tokio::time::timeout(self.connect_timeout.duration(), connecting)
             .await
@@ -75,6 +105,6 @@
         let probe_interval = Duration::from_secs(self.probe_interval.0.div_ceil(1_000).max(1));
         let keepalive = TcpKeepalive::new().with_time(probe_interval).with_interval(probe_interval);
         socket.set_tcp_keepalive(&keepalive.with_retries(MAX_UNANSWERED_PROBES))?;
-        Ok(Box::new(stream))
+        Ok(stream)
     }
 }
--- a/foxtail-standin/src/upstream.rs
+++ b/foxtail-standin/src/upstream.rs
@@ -55,6 +55,16 @@
     ShedEndlessly,
     /// Runs it and answers without `Content-Length`; the end of the connection ends the body.
     CloseDelimited,
+    /// Runs it, sends `start`, with the request's identifier in place of `{id}`, and then `filler` again
+    /// and again, until the caller closes the connection.
+    Endless {
+        /// What is sent once.
+        start: String,
+        /// What is repeated.
+        filler: Vec<u8>,
+    },
+    /// Runs it and answers with the usual body, followed by spaces up to this many bytes.
+    AnswerOf(usize),
 }
 
 /// How long an upstream works on a request, and the size of its cache of objects.
@@ -457,6 +467,14 @@
                 );
                 return self.send_endlessly(stream, &head, b"4\r\nmore\r\n").await;
             }
+            Behavior::Endless { start, filler } => {
+                return self.send_endlessly(stream, &start.replace("{id}", &id), &filler).await;
+            }
+            Behavior::AnswerOf(len) => {
+                let mut body = body;
+                body.resize(len, b' ');
+                send_answer(stream, 200, &id, &extra_headers, &body).await?;
+            }
             Behavior::CloseDelimited => {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n{extra_headers}\r\n"
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -7,10 +7,12 @@
 //! state of the upstreams, [`Fleet`] that of the other hosts.
 
 pub mod config;
+pub mod delivery;
 mod estimate;
 pub mod fleet;
 pub mod lapsed;
 pub mod limited_sending;
+pub mod memory;
 pub mod named_limit;
 pub mod news;
 pub mod notice;
@@ -34,8 +36,10 @@
 pub mod view_age;
 
 pub use config::{Config, Route};
+pub use delivery::Deliveries;
 pub use fleet::Fleet;
 pub use lapsed::LapsedUpstreams;
+pub use memory::Ledger;
 pub use named_limit::RateLimit;
 pub use news::NewsPacer;
 pub use notice::Notice;
--- a/foxtail-steer/src/rendezvous.rs
+++ b/foxtail-steer/src/rendezvous.rs
@@ -1,7 +1,7 @@
 //! Rendezvous hashing: hosts that know the same candidates select the same one without
 //! coordination.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Returns the weight of `candidate` for `key`. The candidate with the highest weight is selected.
 pub fn weight(key: u64, candidate: &str) -> u64 {
@@ -20,7 +20,17 @@
     xxh3_64_with_seed(text.as_bytes(), 0)
 }
 
+/// Returns a stable hash of the bytes of `parts`, one after the other.
+pub fn hash_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut parts = parts.into_iter();
+    let first = parts.next().unwrap_or_default();
+    let Some(second) = parts.next() else { return xxh3_64_with_seed(first, 0) };
+    let mut hasher = Xxh3::with_seed(0);
+    [first, second].into_iter().chain(parts).for_each(|part| hasher.update(part));
+    hasher.digest()
+}
+
 /// Returns a stable hash of `bytes`.
 pub fn hash_bytes(bytes: &[u8]) -> u64 {
-    xxh3_64_with_seed(bytes, 0)
+    hash_parts([bytes])
 }
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -107,6 +107,8 @@
     Withdrawn,
     /// The connection broke, or the received data was not an answer to the request.
     Broken,
+    /// The upstream's host went silent: it acknowledged nothing for a while.
+    Silent,
     /// No answer arrived in time.
     TimedOut,
     /// The caller disconnected.
@@ -292,7 +294,7 @@
                 let doubled = MIN_BACKOFF * (1 << (state.connect_failures - 1).min(8));
                 state.backoff_until = now + doubled.min(MAX_BACKOFF);
             }
-            Outcome::Broken => {
+            Outcome::Broken | Outcome::Silent => {
                 state.record_failure(now);
                 state.lost_answers += 1;
                 if state.lost_answers >= MAX_LOST_ANSWERS {
--- a/foxtail-steer/src/stop.rs
+++ b/foxtail-steer/src/stop.rs
@@ -20,9 +20,10 @@
 }
 
 impl Stop {
-    /// Returns whether a request that was not sent yet is likely to be answered before the end, going by
-    /// the estimate for its upstream.
-    pub fn can_finish(&self, estimate: &Estimate, now: Millis) -> bool {
-        estimate.uncached_ms * FINISH_MARGIN <= self.cut_off_at.since(now).0 as f64
+    /// Returns whether a request that was not sent yet is likely to reach its caller before the end, going by
+    /// the estimate for its upstream and by how long passing on its response may take.
+    pub fn can_finish(&self, estimate: &Estimate, delivery: Millis, now: Millis) -> bool {
+        let takes_ms = estimate.uncached_ms + delivery.0 as f64;
+        takes_ms * FINISH_MARGIN <= self.cut_off_at.since(now).0 as f64
     }
 }
--- a/foxtail-steer/src/suspects.rs
+++ b/foxtail-steer/src/suspects.rs
@@ -138,9 +138,16 @@
 }
 
 impl Fingerprints {
-    /// Computes the fingerprints of a request of `caller`.
-    pub fn new(caller: &str, method: &str, host: &str, path: &str, body: &[u8]) -> Self {
-        let body = rendezvous::hash_bytes(body);
+    /// Computes the fingerprints of a request of `caller`. Its body comes in parts, which do not matter
+    /// for the fingerprints.
+    pub fn new<'a>(
+        caller: &str,
+        method: &str,
+        host: &str,
+        path: &str,
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
+        let body = rendezvous::hash_parts(body);
         let of = |caller: &str| {
             Fingerprint(rendezvous::weight(body, &format!("{caller}\n{method}\n{host}\n{path}\n")))
         };
--- a/foxtail-steer/tests/crashes.rs
+++ b/foxtail-steer/tests/crashes.rs
@@ -229,7 +229,7 @@
 }
 
 fn fingerprints(caller: usize, path: &str) -> Fingerprints {
-    Fingerprints::new(&format!("127.0.0.{caller}"), "GET", "svc.example", path, b"")
+    Fingerprints::new(&format!("127.0.0.{caller}"), "GET", "svc.example", path, [])
 }
 
 fn upstream_id(n: u64) -> UpstreamId {
--- a/foxtail-steer/tests/news.rs
+++ b/foxtail-steer/tests/news.rs
@@ -103,7 +103,7 @@
 }
 
 fn fingerprint(path: &str) -> Fingerprint {
-    Fingerprints::new("127.0.0.1", "GET", "svc.example", path, b"").of_any_caller
+    Fingerprints::new("127.0.0.1", "GET", "svc.example", path, []).of_any_caller
 }
 
 /// Plays a request that crashes three upstreams at 2 s, while `breaks_per_step` other requests lose
--- a/foxtail-steer/tests/suspects.rs
+++ b/foxtail-steer/tests/suspects.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 
 fn fingerprint(path: &str) -> Fingerprint {
-    Fingerprints::new("127.0.0.1", "GET", "svc.example", path, b"").of_caller
+    Fingerprints::new("127.0.0.1", "GET", "svc.example", path, []).of_caller
 }
 
 fn upstream_id(name: &str) -> UpstreamId {
--- a/foxtail-types/src/reason.rs
+++ b/foxtail-types/src/reason.rs
@@ -17,6 +17,8 @@
     DeadlinePassed,
     /// All slots are in use, and the queue is full or too slow for the deadline.
     Overloaded,
+    /// The host has no memory for the request now.
+    OutOfMemory,
     /// The upstreams that accept requests are at the limits that they named.
     UpstreamLimited,
     /// The upstreams that accept requests asked this host to send nothing for a while.
@@ -56,6 +58,7 @@
             Reason::UnknownService => "unknown-service",
             Reason::DeadlinePassed => "deadline-passed",
             Reason::Overloaded => "overloaded",
+            Reason::OutOfMemory => "out-of-memory",
             Reason::UpstreamLimited => "upstream-limited",
             Reason::UpstreamsPaused => "upstreams-paused",
             Reason::NoUpstream => "no-upstream",
--- a/foxtailrouter/tests/soak/caller.rs
+++ b/foxtailrouter/tests/soak/caller.rs
@@ -13,6 +13,15 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+/// How many numbers of callers belong to each seed.
+pub(crate) const CALLERS_PER_SEED: u64 = 100;
+
+/// The first seed with long bodies and answers, and answers that never end.
+pub(crate) const FIRST_SEED_WITH_LONG_BODIES: u64 = 6_000;
+
+/// The size from which an answer is long, in bytes: hosts pass it on while it arrives.
+pub(crate) const LONG_ANSWER_BYTES: usize = 150_000;
+
 /// How long a caller waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -82,7 +91,12 @@
         let (outcome, says_leaving) = match stream {
             None => (RequestOutcome::NotConnected, false),
             Some(mut stream) => {
-                let text = request(&id, idempotent, rng.random_range(0..12));
+                let mut text = request(&id, idempotent, rng.random_range(0..12));
+                if seed >= FIRST_SEED_WITH_LONG_BODIES * CALLERS_PER_SEED && rng.random_bool(0.1) {
+                    let len = rng.random_range(40_000..1_000_000);
+                    let length = format!("Content-Length: {len}\r\n\r\n{}", " ".repeat(len));
+                    text = text.replace("Content-Length: 0\r\n\r\n", &length);
+                }
                 let (outcome, says_leaving) = exchange(&mut stream, &text).await;
                 if matches!(outcome, RequestOutcome::Answer(..)) {
                     open_connection = Some((host_addr, stream));
--- a/foxtailrouter/tests/soak/check.rs
+++ b/foxtailrouter/tests/soak/check.rs
@@ -6,7 +6,8 @@
 use foxtail_standin::caller::promises_not_run;
 use foxtail_standin::upstream::ReceivedRequest;
 
-use crate::caller::{RequestOutcome, RequestRecord};
+use crate::caller::{LONG_ANSWER_BYTES, RequestOutcome, RequestRecord};
+use crate::host::{GRANT_BYTES, Host};
 use crate::notices;
 use crate::site::{Disturbance, LinkCut, TestSite};
 
@@ -52,6 +53,11 @@
     }
     let records = std::mem::take(&mut *site.records.lock());
     let mut violations = std::mem::take(&mut site.violations);
+    for (n, peak) in site.hosts.iter().map(Host::peak_memory).enumerate() {
+        if peak.is_some_and(|peak| peak > GRANT_BYTES) {
+            violations.push(format!("h-{n} took {peak:?} bytes, it is granted {GRANT_BYTES}"));
+        }
+    }
     let received: Vec<(usize, Vec<ReceivedRequest>)> = site
         .upstreams
         .iter()
@@ -112,6 +118,11 @@
     violations
 }
 
+/// Whether `body` is `expected`; a long one also has padding, and may have chunk framing.
+fn is_answer(body: &str, expected: &str) -> bool {
+    body == expected || (body.len() >= LONG_ANSWER_BYTES && body.contains(expected))
+}
+
 fn check_request(
     site: &TestSite,
     record: &RequestRecord,
@@ -129,8 +140,9 @@
     }
     match &record.outcome {
         RequestOutcome::Answer(200, body) => {
-            let matches_a_run =
-                arrivals.iter().any(|a| *body == format!("{} ran {}", a.upstream, record.id));
+            let matches_a_run = arrivals
+                .iter()
+                .any(|a| is_answer(body, &format!("{} ran {}", a.upstream, record.id)));
             if !matches_a_run {
                 report(format!("was answered with `{body}`, which no upstream sent for it"));
             }
--- a/foxtailrouter/tests/soak/faults.rs
+++ b/foxtailrouter/tests/soak/faults.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
 
+use crate::caller::{FIRST_SEED_WITH_LONG_BODIES, LONG_ANSWER_BYTES};
 use crate::host::STOP_S;
 use crate::links::Cut;
 use crate::proxy::Mode;
@@ -23,8 +24,10 @@
 /// The number of kinds of faults for seeds below [`FIRST_SEED_WITH_NOTICES`].
 const CUT_SEED_FAULT_KINDS: u32 = 17;
 const FIRST_SEED_WITH_CUTS: u64 = 1_000;
+/// The number of kinds of faults for seeds below [`FIRST_SEED_WITH_LONG_BODIES`].
+const NOTICE_SEED_FAULT_KINDS: u32 = 21;
 /// The number of kinds of faults for all other seeds.
-const FAULT_KINDS: u32 = 21;
+const FAULT_KINDS: u32 = 23;
 const FIRST_SEED_WITH_NOTICES: u64 = 2_000;
 
 /// The maximum number of hosts that are down or paused at the same time.
@@ -55,6 +58,7 @@
         ..FIRST_LATER_SEED => EARLY_SEED_FAULT_KINDS,
         FIRST_LATER_SEED..FIRST_SEED_WITH_CUTS => LATER_SEED_FAULT_KINDS,
         FIRST_SEED_WITH_CUTS..FIRST_SEED_WITH_NOTICES => CUT_SEED_FAULT_KINDS,
+        FIRST_SEED_WITH_NOTICES..FIRST_SEED_WITH_LONG_BODIES => NOTICE_SEED_FAULT_KINDS,
         _ => FAULT_KINDS,
     };
     let end = Instant::now() + span;
@@ -168,7 +172,7 @@
             site.add_upstream(service_name, zone).await;
             site.register(&site.upstreams[upstream], "draining");
             site.upstreams[upstream].draining_since = Some(Instant::now());
-            site.upstreams[upstream].server.set_leaving(fault_kinds == FAULT_KINDS);
+            site.upstreams[upstream].server.set_leaving(fault_kinds >= NOTICE_SEED_FAULT_KINDS);
         }
         9 if !site.upstreams[upstream].crashed => {
             let (service_name, zone) =
@@ -237,10 +241,29 @@
                 }
             }
         }
+        21 => {
+            let len = rng.random_range(LONG_ANSWER_BYTES..3_000_000);
+            site.upstreams[upstream].server.set_behavior(Behavior::AnswerOf(len));
+            pending.push((ends_at, Undo::ResetBehavior(upstream)));
+        }
+        22 => {
+            let (start, filler) = *ENDLESS_ANSWERS.choose(rng).expect("at least one answer");
+            let (start, filler) = (start.to_owned(), filler.to_owned());
+            let up = &site.upstreams[upstream].server;
+            up.set_behavior(Behavior::Endless { start, filler });
+            pending.push((ends_at, Undo::ResetBehavior(upstream)));
+        }
         _ => {}
     }
 }
 
+/// Answers that never end: how they start, and what is repeated.
+const ENDLESS_ANSWERS: [(&str, &[u8]); 3] = [
+    ("HTTP/1.1 200 OK\r\nx-filler: ", b"more"),
+    ("", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    ("HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n\r\n", b"more"),
+];
+
 fn record_interruption(site: &mut TestSite, host: usize, from: Instant, to: Instant) {
     site.disturbances.push(Disturbance { from, to });
     site.interruptions.push((host, Disturbance { from, to }));
--- a/foxtailrouter/tests/soak/host.rs
+++ b/foxtailrouter/tests/soak/host.rs
@@ -16,6 +16,9 @@
 /// The time limit of a graceful shutdown in the hosts' settings, in seconds.
 pub(crate) const STOP_S: f64 = 3.0;
 
+/// What the platform grants the smallest hosts, and hosts whose settings do not say, in bytes.
+pub(crate) const GRANT_BYTES: u64 = 112_000_000;
+
 /// Ports below the range that the system uses for outgoing connections, so that no other socket
 /// occupies a host's ports while the host is down.
 const HOST_PORTS: std::ops::Range<u16> = 12_000..32_000;
@@ -157,6 +160,15 @@
         }
     }
 
+    /// Returns the most memory that the process had, in bytes, if it runs.
+    pub(crate) fn peak_memory(&self) -> Option<u64> {
+        let child = self.child.as_ref()?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kib * 1024)
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.child.is_some()
     }
--- a/foxtailrouter/tests/soak/main.rs
+++ b/foxtailrouter/tests/soak/main.rs
@@ -46,8 +46,9 @@
 const SEED_OF_SILENT_LINKS: u64 = 1_102;
 
 /// The seeds that run after the regressions if `FOXTAIL_SOAK_SEEDS` is not set. Those from 1,000 on cut
-/// hosts off from all upstreams; from 2,000 on upstreams also ask for pauses and say that they leave.
-const DEFAULT_SEEDS: [Range<u64>; 3] = [100..102, 1_000..1_002, 2_000..2_002];
+/// hosts off from all upstreams; from 2,000 on upstreams also ask for pauses and say that they leave; from 6,000 on
+/// bodies and answers are also long, and answers without end.
+const DEFAULT_SEEDS: [Range<u64>; 4] = [100..102, 1_000..1_002, 2_000..2_002, 6_000..6_002];
 
 /// For how many seconds faults are injected if `FOXTAIL_SOAK_SECONDS` is not set.
 const DEFAULT_FAULT_SECONDS: u64 = 8;
--- a/foxtailrouter/tests/soak/site.rs
+++ b/foxtailrouter/tests/soak/site.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::caller::{self, RequestRecord};
+use crate::caller::{self, CALLERS_PER_SEED, RequestRecord};
 use crate::host::Host;
 use crate::links::{Cut, Links};
 use crate::proxy::Proxy;
@@ -125,8 +125,12 @@
             site.hosts.iter().map(|host| (host.caller_addr, host.lookup_addr)).collect();
         for n in 0..CALLER_COUNT {
             let records = Arc::clone(&site.records);
-            let caller =
-                caller::run(seed * 100 + n, addrs.clone(), records, site.stop_callers.clone());
+            let caller = caller::run(
+                seed * CALLERS_PER_SEED + n,
+                addrs.clone(),
+                records,
+                site.stop_callers.clone(),
+            );
             site.callers.push(tokio::spawn(caller));
         }
         site
