--- a/foxtail-entry/src/relay.rs
+++ b/foxtail-entry/src/relay.rs
@@ -125,10 +125,11 @@
     let disposition = match &response {
         Ok(_) => Disposition::Answered,
         Err(refusal) => match refusal.reason {
-            // Another host may have a newer configuration, or was not asked for a pause.
-            Reason::NotReady | Reason::UnknownService | Reason::UpstreamsPaused => {
-                Disposition::NotTaken
-            }
+            // Another host may have a newer configuration or more memory, or was not asked for a pause.
+            Reason::NotReady
+            | Reason::UnknownService
+            | Reason::UpstreamsPaused
+            | Reason::OutOfMemory => Disposition::NotTaken,
             Reason::UpstreamsLost if cx.reachability.lock().is_lost() => Disposition::UpstreamsLost,
             Reason::UpstreamsLost => Disposition::NotTaken,
             _ => Disposition::Refused,
