--- a/foxtail-entry/tests/odd_entries.rs
+++ b/foxtail-entry/tests/odd_entries.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use common::{TestSite, exchange, ready, request, until};
+use common::{TestSite, exchange, metric, ready, request, until};
 use foxtail_entry::Host;
 use foxtail_entry::message::Message;
 use foxtail_standin::caller::Request;
@@ -320,3 +320,49 @@
         let _ = Message::decode(&bytes);
     }
 }
+
+/// As many upstreams as a large site has.
+const MANY_UPSTREAMS: usize = 700;
+
+#[tokio::test]
+async fn one_odd_registration_among_hundreds_takes_no_other_with_it() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let addr = up.addr().to_string();
+    let port_70000 = changed(&up, &addr, "127.0.0.1:70000");
+    let odd = [
+        port_70000,
+        changed(&up, "\"slots\":3", "\"slots\":1e400"),
+        changed(&up, "\"v1\"", &nested(10_000, "[", "]")),
+    ];
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    for (round, odd) in odd.into_iter().enumerate() {
+        // Some come before the odd one and some after it, in one page and as changes.
+        for n in 0..MANY_UPSTREAMS - 2 {
+            // Of another service, whose requests would find another upstream at this address.
+            let others = format!("\"sequence\":{}", round + 1);
+            let row = String::from_utf8(changed(&up, "\"sequence\":1", &others)).unwrap();
+            let row = row.replace("\"books\"", "\"seats\"").into_bytes();
+            site.store.put("servers", &format!("many-{n:03}"), &row);
+        }
+        site.store.put("servers", "many-350-odd", &odd);
+        let expected = Some((MANY_UPSTREAMS - 1) as f64);
+        until("all others are known", async || {
+            metric(&host, "upstreams_registered").await == expected
+        })
+        .await;
+        let later = site.ready_host(&format!("h-{}", round + 2), "a1", &endpoint).await;
+        until("all others are known to a host that starts", async || {
+            metric(&later, "upstreams_registered").await == expected
+        })
+        .await;
+        later.stop().await;
+    }
+    assert_eq!(
+        exchange(host.settings().caller, &request("GET", "/read/1", "r1", 1_000, "")).await.status,
+        200
+    );
+    host.stop().await;
+}
--- a/foxtail-entry/tests/spreading.rs
+++ b/foxtail-entry/tests/spreading.rs
@@ -34,6 +34,10 @@
 /// The time within which changes must be in force on all hosts.
 const APPLY_BOUND: Duration = Duration::from_secs(3);
 
+/// How often a host is asked. The hosts share one process without optimization, which more questions would keep
+/// busy.
+const ASK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// The time for which bytes may wait at a host's link before the host counts as choked.
 const CHOKED_AFTER: Millis = Millis(500);
 
@@ -91,6 +95,23 @@
         late.iter().map(|host| host.settings().host.to_string()).collect()
     }
 
+    /// As [`Region::late_hosts`], for so many hosts that asking one after the other takes longer than the
+    /// bound beside other load.
+    async fn late_hosts_of_many(&self, path: &str, expected: u16, start: Instant) -> Vec<String> {
+        // Each host is asked on its own: one that answers slowly must not keep others from being asked
+        // again before the time is over.
+        let asking = self.hosts.iter().map(|(host, _)| async move {
+            while start.elapsed() < APPLY_BOUND {
+                if status(host, path).await == expected {
+                    return None;
+                }
+                tokio::time::sleep(ASK_INTERVAL).await;
+            }
+            Some(host.settings().host.to_string())
+        });
+        futures::future::join_all(asking).await.into_iter().flatten().collect()
+    }
+
     /// Returns the longest time that bytes waited at the link of any host.
     fn longest_wait(&self) -> Millis {
         let peers = self.hosts.iter().map(|(host, _)| host.settings().peer);
@@ -114,7 +135,7 @@
     exchange(host.settings().caller, &request("GET", path, "probe", 1_000, "")).await.status
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn large_configuration_reaches_a_region_without_choking_links() {
     let region = Region::start(HOSTS).await;
     let _up = region.site.upstream("up-1", "a1").await;
@@ -122,14 +143,14 @@
     let start = Instant::now();
     region.site.configure_with_extra_routes(12, EXTRA_ROUTES);
     let last_route = format!("/extra-{}/1", EXTRA_ROUTES - 1);
-    let late = region.late_hosts(&last_route, 200, start).await;
+    let late = region.late_hosts_of_many(&last_route, 200, start).await;
     let wait = region.longest_wait();
     assert!(wait <= CHOKED_AFTER, "bytes waited {wait:?} at a host's link");
     assert!(late.is_empty(), "{} of {HOSTS} hosts lack the configuration: {late:?}", late.len());
     region.stop().await;
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn drain_reaches_a_region_while_a_large_configuration_spreads() {
     let region = Region::start(HOSTS).await;
     let up = region.site.upstream("up-1", "a1").await;
@@ -138,7 +159,7 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     let start = Instant::now();
     region.site.store.put("servers", "up-1", &up.registration("books", "a1", "draining", 0.0));
-    let late = region.late_hosts("/read/1", 503, start).await;
+    let late = region.late_hosts_of_many("/read/1", 503, start).await;
     let wait = region.longest_wait();
     assert!(wait <= CHOKED_AFTER, "bytes waited {wait:?} at a host's link");
     assert!(late.is_empty(), "{} of {HOSTS} hosts use the upstream: {late:?}", late.len());
