--- a/foxtail-standin/src/upstream.rs
+++ b/foxtail-standin/src/upstream.rs
@@ -97,6 +97,8 @@
     pub has_run: bool,
     /// The pause that the upstream asked for when it refused the request.
     pub asked_pause: Option<Duration>,
+    /// Whether the answer to it never ended.
+    pub endless: bool,
     /// When it was received; `None` only in the default value.
     pub received_at: Option<Instant>,
 }
@@ -468,6 +470,7 @@
                 return self.send_endlessly(stream, &head, b"4\r\nmore\r\n").await;
             }
             Behavior::Endless { start, filler } => {
+                self.received.lock()[index].endless = true;
                 return self.send_endlessly(stream, &start.replace("{id}", &id), &filler).await;
             }
             Behavior::AnswerOf(len) => {
@@ -575,6 +578,7 @@
         body,
         has_run: false,
         asked_pause: None,
+        endless: false,
         received_at: Some(Instant::now()),
     }))
 }
