fix(entry): growing reservations leave a fifth free, a request counts 32 KiB, reads are short only behind an interim answer

Other callers got 503 out-of-memory beside 300 endless uploads (1 of 19 to 4 of 23 in single runs of foxtailrouter/tests/memory), and one found no answer within 2 s beside 300 upstreams that send empty lines, which the HTTP library parsed again for every 8 KiB.

--- a/foxtail-entry/src/answer_guard.rs
+++ b/foxtail-entry/src/answer_guard.rs
@@ -16,8 +16,8 @@
 /// The most interim answers to one request.
 const MAX_INTERIM_ANSWERS: u32 = 8;
 
-/// How much is read at once before an answer, in bytes. It bounds the interim answers that are parsed before
-/// their number is checked.
+/// How much is read at once behind an interim answer, in bytes. It bounds the interim answers that are parsed
+/// before their number is checked. Before the first one the HTTP library reads as little by itself.
 const READ_BYTES: usize = 8 * 1024;
 
 /// The value of [`AnswerGuard`] while no answer is awaited.
@@ -71,7 +71,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let interim_answers = self.guard.0.load(Ordering::Relaxed);
-        if interim_answers == NO_REQUEST {
+        if interim_answers == NO_REQUEST || interim_answers == 0 {
             return Pin::new(&mut self.stream).poll_read(cx, buf);
         }
         if interim_answers > MAX_INTERIM_ANSWERS {
--- a/foxtail-entry/src/memory.rs
+++ b/foxtail-entry/src/memory.rs
@@ -14,9 +14,9 @@
 /// What an open connection takes, in bytes: the HTTP library's buffers and its task.
 pub(crate) const CONNECTION_BYTES: u64 = 16 * 1024;
 
-/// What a request takes apart from its body and its buffered response, in bytes: the largest response head,
-/// and the data that the HTTP library reads ahead.
-pub(crate) const REQUEST_BYTES: u64 = 64 * 1024;
+/// What a request takes apart from its connections, its body and its buffered response, in bytes: heads, and
+/// data that the HTTP library has read or is about to write.
+pub(crate) const REQUEST_BYTES: u64 = 32 * 1024;
 
 /// How often a shortage of memory is logged at most.
 const SHORTAGE_LOG_INTERVAL: Millis = Millis::secs(1);
@@ -218,7 +218,7 @@
 impl Reservation {
     /// Reserves `bytes` more if there is room now.
     pub(crate) fn extend(&mut self, bytes: u64) -> Result<(), OutOfMemory> {
-        if self.account.state.lock().ledger.try_extend(self.bytes, bytes) {
+        if self.account.state.lock().ledger.try_extend(bytes) {
             self.bytes += bytes;
             return Ok(());
         }
--- a/foxtail-steer/src/memory.rs
+++ b/foxtail-steer/src/memory.rs
@@ -132,13 +132,17 @@
 
     /// Reserves `bytes` if there is room now.
     pub fn try_reserve(&mut self, bytes: u64) -> bool {
-        self.try_extend(0, bytes)
+        self.try_take(bytes, bytes > LARGE_BYTES)
     }
 
-    /// Extends a reservation of `held` bytes by `bytes` if there is room now. What is held already goes
-    /// before what waits, since it is released sooner.
-    pub fn try_extend(&mut self, held: u64, bytes: u64) -> bool {
-        let has_room = self.fits(bytes, held + bytes > LARGE_BYTES);
+    /// Extends a reservation by `bytes` if there is room now. It counts as large: how far it will grow is not
+    /// known. It goes before what waits, since what is held already is released sooner.
+    pub fn try_extend(&mut self, bytes: u64) -> bool {
+        self.try_take(bytes, true)
+    }
+
+    fn try_take(&mut self, bytes: u64, is_large: bool) -> bool {
+        let has_room = self.fits(bytes, is_large);
         if has_room {
             self.held += bytes;
         }
--- a/foxtail-steer/tests/memory.rs
+++ b/foxtail-steer/tests/memory.rs
@@ -116,7 +116,7 @@
 fn reservation_that_grows_keeps_room_for_small_ones() {
     let mut ledger = Ledger::new(GRANT_BYTES);
     let mut held = 0;
-    while ledger.try_extend(held, LARGE_BYTES) {
+    while ledger.try_extend(LARGE_BYTES) {
         held += LARGE_BYTES;
     }
     assert!(held <= ledger.limit() * 4 / 5 && held > ledger.limit() / 2);
@@ -165,7 +165,7 @@
                 },
                 Step::Extend(at, bytes) if !held.is_empty() => {
                     let at = at % held.len();
-                    if ledger.try_extend(held[at], bytes) {
+                    if ledger.try_extend(bytes) {
                         held[at] += bytes;
                     }
                 }
--- a/foxtailrouter/tests/memory/main.rs
+++ b/foxtailrouter/tests/memory/main.rs
@@ -94,7 +94,10 @@
         let mut peers = peers;
         while started.elapsed() < DEADLINE + SLACK && ended.load(Ordering::Relaxed) < PEERS {
             sent += 1;
-            served += usize::from(self.serves_other_caller(sent).await);
+            match self.ask_as_other_caller(sent).await {
+                Ok(()) => served += 1,
+                Err(why) => println!("{what}: request {sent} of another caller: {why}"),
+            }
             tokio::time::sleep(OTHERS_PAUSE).await;
         }
         let took = started.elapsed();
@@ -113,7 +116,8 @@
         assert!(served * 100 >= sent * SERVED_PERCENT, "{what}: {served} of {sent} served");
     }
 
-    async fn serves_other_caller(&self, n: usize) -> bool {
+    /// Sends a request of another caller, and returns why it was not served if it was not.
+    async fn ask_as_other_caller(&self, n: usize) -> Result<(), String> {
         let id = format!("other-{n}");
         let request = Request {
             method: "GET",
@@ -125,11 +129,15 @@
             body: "",
         };
         let asking = async {
-            let mut stream = TcpStream::connect(self.host.caller_addr).await.ok()?;
-            exchange(&mut stream, &request.encode()).await.ok()
+            let mut stream = TcpStream::connect(self.host.caller_addr).await?;
+            exchange(&mut stream, &request.encode()).await
         };
-        let answer = tokio::time::timeout(DEADLINE, asking).await;
-        answer.ok().flatten().is_some_and(|answer| answer.status == 200)
+        match tokio::time::timeout(DEADLINE, asking).await {
+            Err(_) => Err(format!("no answer within {DEADLINE:?}")),
+            Ok(Err(e)) => Err(e.to_string()),
+            Ok(Ok(answer)) if answer.status == 200 => Ok(()),
+            Ok(Ok(answer)) => Err(format!("{} {}", answer.status, answer.body)),
+        }
     }
 }
 
