fix(entry): one lost packet does not make an upstream that reads late look gone

A check with a single connection fails when its first packet is lost, as on links that lose packets, and the request under way was broken off: the new test got 502. Two connections at once have to fail.

--- a/foxtail-entry/src/liveness.rs
+++ b/foxtail-entry/src/liveness.rs
@@ -67,7 +67,9 @@
             continue;
         }
         checked_at = cx.now();
-        if let Err(e) = cx.dial.dial(addr).await {
+        // Two at once: a single packet that is lost must not look like a silent server.
+        let checks = tokio::join!(cx.dial.dial(addr), cx.dial.dial(addr));
+        if let (Err(e), Err(_)) = checks {
             tracing::info!(event = "server_silent", %addr, error = %e,
                 blocked = silence_timeout.is_blocked());
             return Silent;
--- a/foxtail-entry/src/response_body.rs
+++ b/foxtail-entry/src/response_body.rs
@@ -1,4 +1,4 @@
-//! Response bodies: read ahead, so that a request can be sent again if one breaks off, and passed on.
+//! Response bodies: read ahead, so that a request can be sent again if one breaks off, and then passed on.
 
 use std::net::IpAddr;
 use std::pin::Pin;
@@ -38,7 +38,7 @@
 }
 
 /// A response body that is passed on while it arrives.
-struct Passed {
+struct ForwardedBody {
     body: Body,
     cx: Arc<HostContext>,
     delivery: DeliveryId,
@@ -127,11 +127,11 @@
     let delivery = cx.deliveries.lock().begin(route, caller, cx.now());
     response.map(|body| {
         let cx = Arc::clone(cx);
-        Passed { body, cx, delivery, bytes: 0, _reservation: reservation }.boxed_unsync()
+        ForwardedBody { body, cx, delivery, bytes: 0, _reservation: reservation }.boxed_unsync()
     })
 }
 
-impl hyper::body::Body for Passed {
+impl hyper::body::Body for ForwardedBody {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -155,7 +155,7 @@
     }
 }
 
-impl Drop for Passed {
+impl Drop for ForwardedBody {
     fn drop(&mut self) {
         let Self { cx, delivery, bytes, .. } = self;
         cx.deliveries.lock().finish(*delivery, *bytes, cx.now());
--- a/foxtail-entry/tests/common/mod.rs
+++ b/foxtail-entry/tests/common/mod.rs
@@ -29,7 +29,7 @@
 /// The maximum wait for a condition or a response.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
-const DIAL: KeepaliveDial = KeepaliveDial {
+pub(crate) const DIAL: KeepaliveDial = KeepaliveDial {
     connect_timeout: Millis(400),
     unacknowledged_timeout: Millis(700),
     probe_interval: Millis(1_000),
--- a/foxtail-entry/tests/late_readers.rs
+++ b/foxtail-entry/tests/late_readers.rs
@@ -2,13 +2,16 @@
 
 mod common;
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use common::{TestSite, exchange, request};
+use async_trait::async_trait;
+use common::{DIAL, TestSite, exchange, ready, request, until};
 use foxtail_entry::Host;
+use foxtail_net::{Dial, SilenceTimeout, Stream};
 use foxtail_standin::store::StoreEndpoint;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -65,6 +68,40 @@
     });
 }
 
+/// Connects as hosts do; while it is told to, every second connection times out, as if a packet was lost.
+#[derive(Default)]
+struct LossyDial {
+    is_lossy: AtomicBool,
+    dialed: AtomicUsize,
+}
+
+impl LossyDial {
+    async fn lose(&self) -> io::Result<()> {
+        let dialed = self.dialed.fetch_add(1, Ordering::Relaxed);
+        if self.is_lossy.load(Ordering::Relaxed) && dialed % 2 == 0 {
+            tokio::time::sleep(DIAL.connect_timeout.duration()).await;
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Dial for LossyDial {
+    async fn dial(&self, to: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        self.lose().await?;
+        DIAL.dial(to).await
+    }
+
+    async fn dial_adjustable(
+        &self,
+        to: SocketAddr,
+    ) -> io::Result<(Box<dyn Stream>, Option<SilenceTimeout>)> {
+        self.lose().await?;
+        DIAL.dial_adjustable(to).await
+    }
+}
+
 fn register(site: &TestSite, id: &str, addr: SocketAddr) {
     let row = format!(
         r#"{{"address":"{addr}","info":{{"service":"books","version":"v1","zone":"a1","slots":3}},"status":{{"state":"ready","sequence":1,"cold_remaining_s":0}}}}"#
@@ -138,3 +175,24 @@
     assert_ne!(got.body, "crashed-upstreams");
     host.stop().await;
 }
+
+#[tokio::test]
+async fn lost_packet_does_not_make_an_upstream_that_reads_late_look_gone() {
+    let site = TestSite::new();
+    late_reader(&site, "up-1").await;
+    site.configure_with(7, "books", 8.0);
+    let endpoint = site.store_endpoint().await;
+    let dial = Arc::new(LossyDial::default());
+    let host = site.host_with_dial("h-1", "a1", &endpoint, Arc::clone(&dial) as _).await;
+    until("the host is ready", async || ready(&host).await).await;
+    let body = "x".repeat(BODY_BYTES);
+    let caller = host.settings().caller;
+    let text = request("POST", "/write/1", "r1", 6_000, &body);
+    let sent = tokio::spawn(async move { exchange(caller, &text).await });
+    // The request's own connection is made by now.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    dial.is_lossy.store(true, Ordering::Relaxed);
+    let got = sent.await.unwrap();
+    assert_eq!((got.status, got.body.as_str()), (200, "done"));
+    host.stop().await;
+}
