--- a/foxtail-entry/tests/late_readers.rs
+++ b/foxtail-entry/tests/late_readers.rs
@@ -78,7 +78,7 @@
 impl LossyDial {
     async fn lose(&self) -> io::Result<()> {
         let dialed = self.dialed.fetch_add(1, Ordering::Relaxed);
-        if self.is_lossy.load(Ordering::Relaxed) && dialed % 2 == 0 {
+        if self.is_lossy.load(Ordering::Relaxed) && dialed.is_multiple_of(2) {
             tokio::time::sleep(DIAL.connect_timeout.duration()).await;
             return Err(io::ErrorKind::TimedOut.into());
         }
