refactor(entry): refusals for want of memory are recorded where a request is refused

The guard of interim answers needs no value for 'no request'; a request's body is discarded in one place for callers and hosts; parts of a body are not summed for each new one; the stand-in's endless head and body are cases of its endless answer.

--- a/foxtail-entry/src/answer_guard.rs
+++ b/foxtail-entry/src/answer_guard.rs
@@ -20,11 +20,8 @@
 /// before their number is checked. Before the first one the HTTP library reads as little by itself.
 const READ_BYTES: usize = 8 * 1024;
 
-/// The value of [`AnswerGuard`] while no answer is awaited.
-const NO_REQUEST: u32 = u32::MAX;
-
-/// Counts the interim answers on a connection.
-#[derive(Clone, Debug)]
+/// Counts the interim answers to the request that awaits its answer on a connection.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct AnswerGuard(Arc<AtomicU32>);
 
 /// A connection that ends with an error when its [`AnswerGuard`] has counted too many.
@@ -33,28 +30,18 @@
     guard: AnswerGuard,
 }
 
-impl Default for AnswerGuard {
-    fn default() -> Self {
-        Self(Arc::new(AtomicU32::new(NO_REQUEST)))
-    }
-}
-
 impl AnswerGuard {
-    /// Counts from now on, for the answer to `req`.
+    /// Counts the interim answers to `req`.
     pub(crate) fn await_answer<B>(&self, req: &mut Request<B>) {
-        self.0.store(0, Ordering::Relaxed);
         let count = Arc::clone(&self.0);
         hyper::ext::on_informational(req, move |_| {
-            let counted = count.load(Ordering::Relaxed);
-            if counted != NO_REQUEST {
-                count.store(counted + 1, Ordering::Relaxed);
-            }
+            count.fetch_add(1, Ordering::Relaxed);
         });
     }
 
     /// Ends the count, since the answer itself has come.
     pub(crate) fn record_answer(&self) {
-        self.0.store(NO_REQUEST, Ordering::Relaxed);
+        self.0.store(0, Ordering::Relaxed);
     }
 }
 
@@ -71,7 +58,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let interim_answers = self.guard.0.load(Ordering::Relaxed);
-        if interim_answers == NO_REQUEST || interim_answers == 0 {
+        if interim_answers == 0 {
             return Pin::new(&mut self.stream).poll_read(cx, buf);
         }
         if interim_answers > MAX_INTERIM_ANSWERS {
--- a/foxtail-entry/src/memory.rs
+++ b/foxtail-entry/src/memory.rs
@@ -27,8 +27,6 @@
     state: Mutex<State>,
     /// When a shortage was logged last, in milliseconds; 0 if never.
     logged_at: AtomicU64,
-    refusals: AtomicU64,
-    waits: AtomicU64,
 }
 
 struct State {
@@ -37,16 +35,12 @@
     waiting: HashMap<Ticket, oneshot::Sender<()>>,
 }
 
-/// The state of the account, for metrics and log lines.
+/// The state of the account.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Usage {
     pub(crate) held: u64,
     pub(crate) limit: u64,
     pub(crate) waiting: usize,
-    /// How often memory was refused since the start.
-    pub(crate) refusals: u64,
-    /// How often memory was waited for since the start.
-    pub(crate) waits: u64,
 }
 
 /// Memory that is reserved until this is dropped.
@@ -54,6 +48,8 @@
     account: Arc<MemoryAccount>,
     bytes: u64,
     since: Millis,
+    /// Whether there was no room at first.
+    pub(crate) waited: bool,
 }
 
 /// Memory that counts until this is dropped, and that could not be refused.
@@ -89,13 +85,7 @@
     /// Creates the account of a process that is granted `grant` bytes in all.
     pub(crate) fn new(grant: u64, clock: Arc<dyn Clock>) -> Arc<Self> {
         let state = State { ledger: Ledger::new(grant), waiting: HashMap::new() };
-        Arc::new(Self {
-            clock,
-            state: Mutex::new(state),
-            logged_at: AtomicU64::new(0),
-            refusals: AtomicU64::new(0),
-            waits: AtomicU64::new(0),
-        })
+        Arc::new(Self { clock, state: Mutex::new(state), logged_at: AtomicU64::new(0) })
     }
 
     /// Applies a changed grant.
@@ -111,8 +101,6 @@
             held: state.ledger.held(),
             limit: state.ledger.limit(),
             waiting: state.ledger.waiting(),
-            refusals: self.refusals.load(Ordering::Relaxed),
-            waits: self.waits.load(Ordering::Relaxed),
         }
     }
 
@@ -127,7 +115,7 @@
         if self.state.lock().ledger.try_reserve(bytes) {
             return Ok(self.reservation(bytes));
         }
-        Err(self.refuse(bytes))
+        Err(self.out_of_memory(bytes))
     }
 
     /// Reserves `bytes` for a request that has `time_left`, and waits for room if it is worth it.
@@ -141,8 +129,7 @@
             match state.ledger.request(bytes, time_left) {
                 Admission::Granted => return Ok(self.reservation(bytes)),
                 Admission::Refused { retry_after } => {
-                    drop(state);
-                    return Err(self.record_refusal(bytes, retry_after));
+                    return Err(OutOfMemory { bytes, retry_after });
                 }
                 Admission::Wait { ticket, at_most } => {
                     let (tx, rx) = oneshot::channel();
@@ -151,35 +138,32 @@
                 }
             }
         };
-        self.waits.fetch_add(1, Ordering::Relaxed);
         match tokio::time::timeout(at_most.duration(), granted).await {
             Ok(Ok(())) => Ok(waiting.finish()),
             Ok(Err(_)) | Err(_) => {
                 drop(waiting);
-                Err(self.refuse(bytes))
+                Err(self.out_of_memory(bytes))
             }
         }
     }
 
     fn reservation(self: &Arc<Self>, bytes: u64) -> Reservation {
-        Reservation { account: Arc::clone(self), bytes, since: self.clock.now() }
+        Reservation { account: Arc::clone(self), bytes, since: self.clock.now(), waited: false }
     }
 
-    fn refuse(&self, bytes: u64) -> OutOfMemory {
-        let retry_after = self.state.lock().ledger.expected_wait(bytes);
-        self.record_refusal(bytes, retry_after)
+    fn out_of_memory(&self, bytes: u64) -> OutOfMemory {
+        OutOfMemory { bytes, retry_after: self.state.lock().ledger.expected_wait(bytes) }
     }
 
-    fn record_refusal(&self, bytes: u64, retry_after: Millis) -> OutOfMemory {
-        let refusals = self.refusals.fetch_add(1, Ordering::Relaxed) + 1;
+    /// Logs that a request is refused for want of memory, unless another one was logged just before.
+    pub(crate) fn log_shortage(&self, e: OutOfMemory) {
         let now = self.clock.now().0.max(1);
         let logged_at = self.logged_at.load(Ordering::Relaxed);
         if logged_at == 0 || now >= logged_at + SHORTAGE_LOG_INTERVAL.0 {
             self.logged_at.store(now, Ordering::Relaxed);
-            let Usage { held, limit, waiting, .. } = self.usage();
-            tracing::warn!(event = "memory_short", wanted = bytes, held, limit, waiting, refusals);
+            let Usage { held, limit, waiting } = self.usage();
+            tracing::warn!(event = "memory_short", wanted = e.bytes, held, limit, waiting);
         }
-        OutOfMemory { bytes, retry_after }
     }
 }
 
@@ -196,7 +180,9 @@
 impl Waiting<'_> {
     fn finish(mut self) -> Reservation {
         self.is_done = true;
-        self.account.reservation(self.bytes)
+        let mut reservation = self.account.reservation(self.bytes);
+        reservation.waited = true;
+        reservation
     }
 }
 
@@ -222,7 +208,7 @@
             self.bytes += bytes;
             return Ok(());
         }
-        Err(self.account.refuse(bytes))
+        Err(self.account.out_of_memory(bytes))
     }
 
     /// Returns `data` so that the memory is released when its last part is dropped.
--- a/foxtail-entry/src/metrics.rs
+++ b/foxtail-entry/src/metrics.rs
@@ -30,8 +30,8 @@
     memory_held: Gauge<u64>,
     memory_limit: Gauge<u64>,
     memory_waiting: Gauge<u64>,
-    memory_refusals: Gauge<u64>,
-    memory_waits: Gauge<u64>,
+    memory_refusals: Counter<u64>,
+    memory_waits: Counter<u64>,
     hosts: Gauge<u64>,
     upstreams: Gauge<u64>,
     strikes: Gauge<u64>,
@@ -81,12 +81,12 @@
                 .with_description("request bodies that wait for memory")
                 .build(),
             memory_refusals: meter
-                .u64_gauge("memory_refusals")
-                .with_description("how often memory was refused since the start")
+                .u64_counter("memory_refusals_total")
+                .with_description("requests refused for want of memory")
                 .build(),
             memory_waits: meter
-                .u64_gauge("memory_waits")
-                .with_description("how often a request body waited for memory since the start")
+                .u64_counter("memory_waits_total")
+                .with_description("request bodies that waited for memory and got it")
                 .build(),
             hosts: meter.u64_gauge("hosts_alive").build(),
             upstreams: meter.u64_gauge("upstreams_registered").build(),
@@ -195,12 +195,18 @@
     }
 
     pub(crate) fn set_memory(&self, usage: Usage) {
-        let Usage { held, limit, waiting, refusals, waits } = usage;
+        let Usage { held, limit, waiting } = usage;
         self.memory_held.record(held, &[]);
         self.memory_limit.record(limit, &[]);
         self.memory_waiting.record(waiting as u64, &[]);
-        self.memory_refusals.record(refusals, &[]);
-        self.memory_waits.record(waits, &[]);
+    }
+
+    pub(crate) fn count_memory_refusal(&self) {
+        self.memory_refusals.add(1, &[]);
+    }
+
+    pub(crate) fn count_memory_wait(&self) {
+        self.memory_waits.add(1, &[]);
     }
 
     pub(crate) fn set_view_age(&self, area: &'static str, age: Millis) {
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -88,19 +88,23 @@
     let (mut head, mut body) = req.into_parts();
     let relayed = relay::take_relayed(&cx, &mut head.headers, from);
     let feedback = RelayFeedback::default();
-    let mut response = match &relayed {
+    let caller = match &relayed {
         Some(relayed) => {
-            let caller = (relayed.caller, Some(relayed));
             cx.reachability.lock().record_relayed(arrived);
             cx.check_reachability(arrived);
-            let served = serve(&cx, (&mut head, &mut body), caller, &feedback, arrived).await;
-            discard_rest(&cx, &served, (&head, body), arrived);
-            relay::mark_response(&cx, served, relayed, feedback)
+            relayed.caller
         }
         None => {
             cx.requests.fetch_add(1, Ordering::Relaxed);
-            let served = serve(&cx, (&mut head, &mut body), (from, None), &feedback, arrived).await;
-            discard_rest(&cx, &served, (&head, body), arrived);
+            from
+        }
+    };
+    let request = (&mut head, &mut body);
+    let served = serve(&cx, request, (caller, relayed.as_ref()), &feedback, arrived).await;
+    discard_rest(&cx, &served, (&head, body), arrived);
+    let mut response = match &relayed {
+        Some(relayed) => relay::mark_response(&cx, served, relayed, feedback),
+        None => {
             let mut response = served.unwrap_or_else(|refusal| refusal.response());
             relay::strip_mark(&mut response);
             response
@@ -145,7 +149,7 @@
     let deadline = cx.lifecycle.stop.get().map_or(deadline, |stop| deadline.min(stop.cut_off_at));
     let body = read_body(cx, body, cfg.limits.body_bytes, deadline).await;
     let body = body.inspect_err(|refusal| request_log.record_refusal(cx, "-", refusal, None))?;
-    let reservation = cx.memory.try_reserve(REQUEST_BYTES).map_err(out_of_memory);
+    let reservation = cx.memory.try_reserve(REQUEST_BYTES).map_err(|e| out_of_memory(cx, e));
     let reservation =
         reservation.inspect_err(|refusal| request_log.record_refusal(cx, "-", refusal, None))?;
     strip_connection_headers(&mut head.headers);
@@ -214,11 +218,16 @@
     let left = deadline.since(cx.now());
     let reading = RequestBody::read(&cx.memory, body, max_bytes, left);
     match tokio::time::timeout(left.duration(), reading).await {
-        Ok(Ok(body)) => Ok(body),
+        Ok(Ok(body)) => {
+            if body.waited_for_memory() {
+                cx.metrics.count_memory_wait();
+            }
+            Ok(body)
+        }
         Ok(Err(Error::TooLarge)) => {
             Err(Refusal::invalid(StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge))
         }
-        Ok(Err(Error::OutOfMemory(e))) => Err(out_of_memory(e)),
+        Ok(Err(Error::OutOfMemory(e))) => Err(out_of_memory(cx, e)),
         Ok(Err(Error::BrokenOff(_))) => {
             Err(Refusal::invalid(StatusCode::BAD_REQUEST, Reason::BadRequest))
         }
@@ -226,7 +235,9 @@
     }
 }
 
-fn out_of_memory(e: OutOfMemory) -> Refusal {
+fn out_of_memory(cx: &HostContext, e: OutOfMemory) -> Refusal {
+    cx.metrics.count_memory_refusal();
+    cx.memory.log_shortage(e);
     Refusal::not_run(Reason::OutOfMemory, e.retry_after.max(SHED_RETRY_AFTER))
 }
 
--- a/foxtail-entry/src/request_body.rs
+++ b/foxtail-entry/src/request_body.rs
@@ -39,7 +39,7 @@
     parts: Arc<[Bytes]>,
     len: usize,
     /// Keeps the memory reserved until the last copy is dropped.
-    _reservation: Option<Arc<Reservation>>,
+    reservation: Option<Arc<Reservation>>,
 }
 
 /// A [`RequestBody`] that is being sent.
@@ -55,6 +55,8 @@
     parts: Vec<Bytes>,
     last: BytesMut,
     len: usize,
+    /// The total size of the parts and of `last`, as far as memory was taken for them.
+    capacity: usize,
     /// The length that the caller declared.
     declared: Option<usize>,
     reservation: Option<Reservation>,
@@ -87,6 +89,7 @@
             parts: Vec::new(),
             last: BytesMut::new(),
             len: 0,
+            capacity: 0,
             declared,
             reservation: Some(reservation),
         };
@@ -109,6 +112,11 @@
         self.len == 0
     }
 
+    /// Whether there was no memory for the body at first.
+    pub(crate) fn waited_for_memory(&self) -> bool {
+        self.reservation.as_ref().is_some_and(|reservation| reservation.waited)
+    }
+
     /// Returns the parts of the body, in order.
     pub(crate) fn parts(&self) -> impl Iterator<Item = &[u8]> {
         self.parts.iter().map(Bytes::as_ref)
@@ -144,9 +152,8 @@
     /// Makes room for more data.
     fn add_part(&mut self) -> Result<(), OutOfMemory> {
         let full = std::mem::take(&mut self.last);
-        let collected: usize = self.parts.iter().map(Bytes::len).sum::<usize>() + full.len();
         let capacity = match self.declared {
-            Some(len) => (len - collected).min(PART_BYTES),
+            Some(len) => (len - self.capacity).min(PART_BYTES),
             None if full.is_empty() => FIRST_PART_BYTES,
             None => {
                 let capacity = (full.len() * 2).min(PART_BYTES);
@@ -158,6 +165,7 @@
         if !full.is_empty() {
             self.parts.push(full.freeze());
         }
+        self.capacity += capacity;
         self.last = BytesMut::with_capacity(capacity);
         Ok(())
     }
@@ -169,7 +177,7 @@
         RequestBody {
             parts: self.parts.into(),
             len: self.len,
-            _reservation: self.reservation.take().map(Arc::new),
+            reservation: self.reservation.take().map(Arc::new),
         }
     }
 }
--- a/foxtail-entry/tests/endless.rs
+++ b/foxtail-entry/tests/endless.rs
@@ -11,6 +11,10 @@
 /// By when after its deadline a request has to be over.
 const SLACK: Duration = Duration::from_millis(500);
 
+fn endless(start: &str, filler: &[u8]) -> Behavior {
+    Behavior::Endless { start: start.to_owned(), filler: filler.to_owned() }
+}
+
 #[tokio::test]
 async fn head_that_never_ends_ends_the_request_and_the_connection() {
     let site = TestSite::new();
@@ -18,7 +22,7 @@
     let up = site.upstream("up-1", "a1").await;
     let endpoint = site.store_endpoint().await;
     let host = site.ready_host("h-1", "a1", &endpoint).await;
-    up.queue_behaviors([Behavior::EndlessHead]);
+    up.queue_behaviors([endless("HTTP/1.1 200 OK\r\nx-filler: ", b"more")]);
 
     let began = Instant::now();
     let text = request("POST", "/write/1", "r1", DEADLINE_MS, "");
@@ -37,7 +41,9 @@
     let up = site.upstream("up-1", "a1").await;
     let endpoint = site.store_endpoint().await;
     let host = site.ready_host("h-1", "a1", &endpoint).await;
-    up.queue_behaviors([Behavior::EndlessBody]);
+    let head = "HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n\
+                foxtailrouter-server-seal: up-1.{id}\r\ntransfer-encoding: chunked\r\n\r\n";
+    up.queue_behaviors([endless(head, b"4\r\nmore\r\n")]);
 
     let began = Instant::now();
     let text = request("GET", "/read/1", "r1", DEADLINE_MS, "");
--- a/foxtail-entry/tests/large_bodies.rs
+++ b/foxtail-entry/tests/large_bodies.rs
@@ -77,7 +77,7 @@
         assert_eq!(got.status, 200, "{framing}");
     }
     assert_eq!(up.runs(), 2);
-    assert_eq!(metric(&host, "memory_refusals").await, Some(2.0));
+    assert_eq!(metric(&host, "memory_refusals_total").await, Some(2.0));
     host.stop().await;
 }
 
--- a/foxtail-standin/src/upstream.rs
+++ b/foxtail-standin/src/upstream.rs
@@ -47,10 +47,6 @@
     MisdirectAnother,
     /// Runs it, answers without `Content-Length`, and resets the connection within the body.
     ResetUnframed,
-    /// Runs it and sends a head that never ends, until the caller closes the connection.
-    EndlessHead,
-    /// Runs it and sends a body that never ends, until the caller closes the connection.
-    EndlessBody,
     /// Refuses it with status 503, does not run it, and sends a body that never ends.
     ShedEndlessly,
     /// Runs it and answers without `Content-Length`; the end of the connection ends the body.
@@ -459,16 +455,6 @@
                 stream.write_all(&text[..text.len() - body.len() / 2]).await?;
                 return Ok(false);
             }
-            Behavior::EndlessHead => {
-                return self.send_endlessly(stream, "HTTP/1.1 200 OK\r\nx-filler: ", b"more").await;
-            }
-            Behavior::EndlessBody => {
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\n{extra_headers}\
-                     transfer-encoding: chunked\r\n\r\n"
-                );
-                return self.send_endlessly(stream, &head, b"4\r\nmore\r\n").await;
-            }
             Behavior::Endless { start, filler } => {
                 self.received.lock()[index].endless = true;
                 return self.send_endlessly(stream, &start.replace("{id}", &id), &filler).await;
--- a/foxtailrouter/tests/memory/main.rs
+++ b/foxtailrouter/tests/memory/main.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use foxtail_standin::caller::{Request, exchange, is_ready};
@@ -196,11 +196,9 @@
             let start = start.replace("{n}", &n.to_string());
             peers.spawn(async move {
                 let mut stream = TcpStream::connect(addr).await.expect("can't connect");
-                let closed = AtomicBool::new(false);
-                if stream.write_all(start.as_bytes()).await.is_err() {
-                    closed.store(true, Ordering::Relaxed);
-                }
-                while !closed.load(Ordering::Relaxed) && stream.write_all(&block).await.is_ok() {
+                let mut sent = stream.write_all(start.as_bytes()).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(&block).await;
                     tokio::time::sleep(Duration::from_millis(1)).await;
                 }
                 ended.fetch_add(1, Ordering::Relaxed);
