feat(entry): pipelined requests that may be repeated are handled side by side

The HTTP library takes one request of a connection after the other, so pipelined requests spent the time that their callers grant, and their route's timeout, waiting for the slowest one in front.

Bytes of a connection are scanned for heads with httparse (the library's own parser) while a request is in progress; up to 8 of the next ones are handled ahead if their routes may be repeated. The library still parses everything and writes the answers in order. Nothing overtakes a request that may run once. A caller that leaves ends all of its requests, and a stopping host answers what it started before it closes.

--- a/foxtail-entry/src/lib.rs
+++ b/foxtail-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod probe;
 mod progress;
 mod pull;
+mod read_ahead;
 mod refusal;
 mod relay;
 mod replica;
--- a/foxtail-entry/src/request.rs
+++ b/foxtail-entry/src/request.rs
@@ -14,11 +14,11 @@
 use foxtail_types::reason::Reason;
 use hyper::body::Incoming;
 use hyper::http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 
 use crate::attempt::{AttemptOutcome, ForwardedRequest, attempt};
 use crate::context::HostContext;
@@ -78,14 +78,21 @@
     relayed: Option<&'a RelayedRequest>,
 }
 
-/// Handles the request `req` from `from`, a caller or another host, and returns the response.
+/// Returns whether a request may be handled before those in front of it on its connection are answered.
+pub(crate) fn may_run_ahead(cx: &HostContext, head: &Request<()>) -> bool {
+    let cfg = cx.steering.lock().config().cloned();
+    let route = cfg.as_ref().and_then(|cfg| find_route(cfg, head.headers(), head.uri()));
+    cx.is_serving() && route.is_some_and(|route| route.idempotent)
+}
+
+/// Handles a request from `from`, a caller or another host, and returns the response.
 pub(crate) async fn handle(
     cx: Arc<HostContext>,
-    req: Request<Incoming>,
+    mut head: Parts,
+    mut body: Option<Incoming>,
     from: IpAddr,
 ) -> Response<Body> {
     let arrived = cx.now();
-    let (mut head, mut body) = req.into_parts();
     let relayed = relay::take_relayed(&cx, &mut head.headers, from);
     let feedback = RelayFeedback::default();
     let caller = match &relayed {
@@ -102,23 +109,19 @@
     let request = (&mut head, &mut body);
     let served = serve(&cx, request, (caller, relayed.as_ref()), &feedback, arrived).await;
     discard_rest(&cx, &served, (&head, body), arrived);
-    let mut response = match &relayed {
+    match &relayed {
         Some(relayed) => relay::mark_response(&cx, served, relayed, feedback),
         None => {
             let mut response = served.unwrap_or_else(|refusal| refusal.response());
             relay::strip_mark(&mut response);
             response
         }
-    };
-    if cx.lifecycle.is_leaving() {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
 }
 
 async fn serve(
     cx: &Arc<HostContext>,
-    (head, body): (&mut Parts, &mut Incoming),
+    (head, body): (&mut Parts, &mut Option<Incoming>),
     (caller, relayed): (IpAddr, Option<&RelayedRequest>),
     feedback: &RelayFeedback,
     arrived: Millis,
@@ -138,7 +141,7 @@
         }
     };
     let mut request_log = RequestLog { info: &info, arrived, attempts: 0, version: cfg.version };
-    let Some(route) = find_route(&cfg, head) else {
+    let Some(route) = find_route(&cfg, &head.headers, &head.uri) else {
         let refusal = Refusal::invalid(StatusCode::NOT_FOUND, Reason::UnknownService);
         request_log.record_refusal(cx, "-", &refusal, None);
         return Err(refusal);
@@ -147,7 +150,7 @@
     let timeout = relayed.map_or(timeout, |relayed| relayed.time_left);
     let deadline = arrived + timeout.min(route.timeout);
     let deadline = cx.lifecycle.stop.get().map_or(deadline, |stop| deadline.min(stop.cut_off_at));
-    let body = read_body(cx, body, cfg.limits.body_bytes, deadline).await;
+    let body = read_body(cx, body.as_mut(), cfg.limits.body_bytes, deadline).await;
     let body = body.inspect_err(|refusal| request_log.record_refusal(cx, "-", refusal, None))?;
     let reservation = cx.memory.try_reserve(REQUEST_BYTES).map_err(|e| out_of_memory(cx, e));
     let reservation =
@@ -172,10 +175,11 @@
 fn discard_rest(
     cx: &Arc<HostContext>,
     served: &Result<Response<Body>, Refusal>,
-    (head, body): (&Parts, Incoming),
+    (head, body): (&Parts, Option<Incoming>),
     arrived: Millis,
 ) {
-    if served.is_ok() || hyper::body::Body::is_end_stream(&body) {
+    let Some(body) = body.filter(|body| !hyper::body::Body::is_end_stream(body)) else { return };
+    if served.is_ok() {
         return;
     }
     let timeout = cx.protocol.parse_request(&head.headers).ok().and_then(|info| info.timeout);
@@ -191,19 +195,19 @@
 }
 
 /// Returns the requested host name, including the port if there is one.
-fn host_name(head: &Parts) -> Option<&str> {
-    let named = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    named.or_else(|| head.uri.host())
+fn host_name<'r>(headers: &'r HeaderMap, uri: &'r Uri) -> Option<&'r str> {
+    let named = headers.get(HOST).and_then(|value| value.to_str().ok());
+    named.or_else(|| uri.host())
 }
 
-fn find_route<'c>(cfg: &'c Config, head: &Parts) -> Option<&'c Route> {
-    let host = host_name(head)?;
+fn find_route<'c>(cfg: &'c Config, headers: &HeaderMap, uri: &Uri) -> Option<&'c Route> {
+    let host = host_name(headers, uri)?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    cfg.route(name, head.uri.path())
+    cfg.route(name, uri.path())
 }
 
 fn fingerprints_of(caller: IpAddr, head: &Parts, body: &RequestBody) -> Fingerprints {
-    let host = host_name(head).unwrap_or_default();
+    let host = host_name(&head.headers, &head.uri).unwrap_or_default();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     Fingerprints::new(&caller.to_string(), head.method.as_str(), host, path, body.parts())
 }
@@ -211,10 +215,11 @@
 /// Reads the request body, up to `max_bytes` and until `deadline`.
 async fn read_body(
     cx: &HostContext,
-    body: &mut Incoming,
+    body: Option<&mut Incoming>,
     max_bytes: usize,
     deadline: Millis,
 ) -> Result<RequestBody, Refusal> {
+    let Some(body) = body else { return Ok(RequestBody::default()) };
     let left = deadline.since(cx.now());
     let reading = RequestBody::read(&cx.memory, body, max_bytes, left);
     match tokio::time::timeout(left.duration(), reading).await {
--- a/foxtail-entry/src/serve.rs
+++ b/foxtail-entry/src/serve.rs
@@ -8,17 +8,19 @@
 use foxtail_types::prelude::*;
 use futures::FutureExt;
 use hyper::body::Incoming;
+use hyper::http::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::caller_stream::CallerStream;
 use crate::context::HostContext;
 use crate::memory::CONNECTION_BYTES;
+use crate::read_ahead::{Head, Pipeline};
 use crate::{lookup, request};
 
 /// The length of the listen queue: connections that arrive at the same moment.
@@ -34,10 +36,16 @@
 /// the last ones: their callers may have sent a request that is not read yet.
 pub(crate) const LAST_REQUEST_TIME: Millis = Millis(300);
 
-/// The caller closed the connection before its request was answered.
+/// Why a connection is closed before a request was answered.
 #[derive(Debug, thiserror::Error)]
-#[error("the caller has left")]
-struct CallerLeft;
+enum Error {
+    /// The caller closed it.
+    #[error("the caller has left")]
+    CallerLeft,
+    /// The task of a request that was handled ahead of its turn ended without a response.
+    #[error("no response: {0}")]
+    NoResponse(#[from] tokio::task::JoinError),
+}
 
 /// The kind of requests that a listener accepts.
 #[id]
@@ -97,7 +105,7 @@
     stop: CancellationToken,
 ) {
     let on_conn = |stream, from| {
-        conns.spawn(serve_connection(Arc::clone(&cx), stream, from, kind));
+        conns.spawn(serve_connection(Arc::clone(&cx), stream, from, kind, conns.clone()));
     };
     accept(listener, kind, stop, on_conn).await;
 }
@@ -107,6 +115,7 @@
     stream: TcpStream,
     from: IpAddr,
     kind: ListenerKind,
+    tasks: TaskTracker,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = "no_delay_refused", error = %e);
@@ -115,14 +124,22 @@
     let closing = cx.lifecycle.closing.clone();
     let _charge = cx.memory.charge(CONNECTION_BYTES);
     let stream = CallerStream::new(stream);
+    let start_ahead = |head: &Head| {
+        if kind != ListenerKind::Requests || !request::may_run_ahead(&cx, head) {
+            return None;
+        }
+        let (head, ()) = head.clone().into_parts();
+        let handling = request::handle(Arc::clone(&cx), head, None, from);
+        Some(AbortOnDropHandle::new(tasks.spawn(handling)))
+    };
     let service = service_fn(|req: Request<Incoming>| {
-        let (cx, stream) = (Arc::clone(&cx), stream.clone());
+        let (cx, stream) = (&cx, stream.clone());
         async move {
             tokio::select! {
                 // Requests that waited behind another one may have lost their caller meanwhile.
                 biased;
-                () = stream.closed() => Err(CallerLeft),
-                response = respond(cx, req, from, kind) => Ok::<Response<Body>, _>(response),
+                () = stream.read_ahead(start_ahead) => Err(Error::CallerLeft),
+                response = respond(cx, req, from, kind, stream.pipeline()) => response,
             }
         }
     });
@@ -135,7 +152,7 @@
     tokio::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        () = last_request_time_over(&closing) => {
+        () = last_request_time_over(&closing, stream.pipeline()) => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -146,24 +163,37 @@
 }
 
 /// Waits until connections without a request in progress are closed.
-async fn last_request_time_over(closing: &CancellationToken) {
+async fn last_request_time_over(closing: &CancellationToken, pipeline: &Pipeline) {
     closing.cancelled().await;
     tokio::time::sleep(LAST_REQUEST_TIME.duration()).await;
+    pipeline.drained().await;
 }
 
 async fn respond(
-    cx: Arc<HostContext>,
+    cx: &Arc<HostContext>,
     req: Request<Incoming>,
     from: IpAddr,
     kind: ListenerKind,
-) -> Response<Body> {
-    match kind {
-        ListenerKind::Requests => request::handle(cx, req, from).await,
-        ListenerKind::Lookups => lookup::lookup(&cx, &req, from),
-        ListenerKind::Health => lookup::health(&cx, &req),
-        ListenerKind::Metrics => lookup::metrics(&cx, &req),
+    pipeline: &Pipeline,
+) -> Result<Response<Body>, Error> {
+    Ok(match kind {
+        ListenerKind::Requests => {
+            let (head, body) = req.into_parts();
+            let mut response = match pipeline.take(&head) {
+                Some(started) => started.await?,
+                None => request::handle(Arc::clone(cx), head, Some(body), from).await,
+            };
+            // What was started behind this request is answered on the same connection.
+            if cx.lifecycle.is_leaving() && !pipeline.has_started() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            response
+        }
+        ListenerKind::Lookups => lookup::lookup(cx, &req, from),
+        ListenerKind::Health => lookup::health(cx, &req),
+        ListenerKind::Metrics => lookup::metrics(cx, &req),
         ListenerKind::Hosts | ListenerKind::Operators => {
             unreachable!("hosts and operators have servers of their own")
         }
-    }
+    })
 }
