feat(steer): callers are spread over more hosts until their rate is known

No host has counted requests when traffic begins, so look-ups named two hosts a region; callers keep the connections that they open then. Counted from the logs of all hosts.

Only look-ups use it: senders to cold upstreams, on which hosts have to agree, go by the counted rates alone.

--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -10,6 +10,7 @@
 use foxtail_macro::{id, value};
 use foxtail_types::prelude::*;
 
+use crate::demand::Demand;
 use crate::rendezvous;
 use crate::suspects::{ClearingAnswer, Fingerprint, Strike, TrialTurn};
 use crate::view_age::ViewAges;
@@ -221,6 +222,7 @@
     echoed_beat: u64,
     /// Whether the registrations of all hosts were read from the store.
     registrations_read: bool,
+    demand: Demand,
 }
 
 /// Determines the hosts that send to cold upstreams and to upstreams with limits, and the entry
@@ -263,6 +265,7 @@
             digests_sent: 0,
             echoed_beat: 0,
             registrations_read: false,
+            demand: Demand::default(),
         }
     }
 
@@ -515,6 +518,11 @@
         let own = self.own_peer();
         own.beat = own.beat.max(beat);
         own.heartbeat_at = Some(now);
+        let regions: Vec<RegionId> = self.keys_by_region.keys().cloned().collect();
+        for region in regions {
+            let counted = self.counted_rate(&region, now);
+            self.demand.record(&region, counted, now);
+        }
     }
 
     /// Returns a digest of this host and of those others that are alive and `included`.
@@ -654,13 +662,13 @@
     /// handles a larger share of the requests knows the upstreams' load better and needs fewer
     /// connections. The selected hosts are spread over zones, and every host selects the same ones.
     pub fn entry_hosts(&self, region: &RegionId, zone: &ZoneId, now: Millis) -> Vec<&HostRecord> {
-        let mut hosts = self.entry_hosts_in(region, now);
+        let hosts_in = |region| {
+            let rate = self.demand.rate(region).max(self.counted_rate(region, now));
+            self.entry_hosts_in(region, rate, now)
+        };
+        let mut hosts = hosts_in(region);
         if hosts.is_empty() {
-            hosts = self
-                .keys_by_region
-                .keys()
-                .flat_map(|region| self.entry_hosts_in(region, now))
-                .collect();
+            hosts = self.keys_by_region.keys().flat_map(hosts_in).collect();
         }
         hosts.sort_by_key(|record| record.zone != *zone);
         hosts.truncate(MAX_ENTRY_HOSTS);
@@ -731,15 +739,24 @@
         Some(TrialTurn { index, regions: self.keys_by_region.len() })
     }
 
-    /// Returns the entry hosts in `region`: the hosts of the region that callers are directed to. Hosts
-    /// that lost their upstreams are among them only if all of the region did.
-    fn entry_hosts_in(&self, region: &RegionId, now: Millis) -> Vec<&HostRecord> {
+    /// Returns the hosts of `region` that serve callers.
+    fn hosts_serving_in(&self, region: &RegionId, now: Millis) -> impl Iterator<Item = &Peer> {
         let own_region = &self.own_record().region;
-        let serving =
-            |peer: &&Peer| peer.phase == Phase::Serving && is_alive(peer, own_region, now);
         let keys = self.keys_by_region.get(region).into_iter().flatten();
-        let mut hosts: Vec<&Peer> = keys.map(|key| &self.peers[key]).filter(serving).collect();
-        let rate: f64 = hosts.iter().map(|peer| f64::from(peer.rate)).sum();
+        let serving =
+            move |peer: &&Peer| peer.phase == Phase::Serving && is_alive(peer, own_region, now);
+        keys.map(|key| &self.peers[key]).filter(serving)
+    }
+
+    /// Returns the requests per second that the hosts of `region` count.
+    fn counted_rate(&self, region: &RegionId, now: Millis) -> f64 {
+        self.hosts_serving_in(region, now).map(|peer| f64::from(peer.rate)).sum()
+    }
+
+    /// Returns the entry hosts in `region` at a rate of `rate` requests per second: the hosts of the region that
+    /// callers are directed to. Hosts that lost their upstreams are among them only if all of the region did.
+    fn entry_hosts_in(&self, region: &RegionId, rate: f64, now: Millis) -> Vec<&HostRecord> {
+        let mut hosts: Vec<&Peer> = self.hosts_serving_in(region, now).collect();
         if hosts.iter().any(|peer| peer.access != UpstreamAccess::Lost) {
             hosts.retain(|peer| peer.access != UpstreamAccess::Lost);
         }
@@ -791,7 +808,9 @@
 
     fn entry_hosts(&mut self, region: &RegionId) -> &[&'f HostId] {
         if !self.by_region.contains_key(region) {
-            let hosts = self.fleet.entry_hosts_in(region, self.now);
+            // Hosts have to agree on these, so only what they tell each other counts.
+            let rate = self.fleet.counted_rate(region, self.now);
+            let hosts = self.fleet.entry_hosts_in(region, rate, self.now);
             let ids = hosts.into_iter().map(|record| &record.id).collect();
             self.by_region.insert(region.clone(), ids);
         }
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod config;
 pub mod delivery;
+mod demand;
 mod estimate;
 pub mod fleet;
 pub mod lapsed;
