feat(steer): a region with few upstreams for its demand keeps a part of its objects

Every object of a region's callers had its first designated upstream in that region. Where a third of the callers meet a tenth of the upstreams these hold more objects than fit and evict each other.

A region's upstreams keep at most 1.5 times the mean number of objects for each slot, going by its share of the slots and of the hosts; the other objects are designated elsewhere only. All hosts choose the same ones.

--- a/foxtail-lab/src/model/results.rs
+++ b/foxtail-lab/src/model/results.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Results {
     routes: BTreeMap<String, Counts>,
+    regions: BTreeMap<RegionId, Counts>,
     latencies_ms: Vec<u64>,
     /// The number of times that an upstream refused a request.
     pub shed: usize,
@@ -27,20 +28,34 @@
 }
 
 impl Results {
-    pub(super) fn count_request(&mut self, route: &str) {
+    pub(super) fn count_request(&mut self, region: &RegionId, route: &str) {
         self.routes.entry(route.to_owned()).or_default().requests += 1;
+        self.regions.entry(region.clone()).or_default().requests += 1;
     }
 
-    pub(super) fn count_answer(&mut self, route: &str, latency: Millis, objective: Millis) {
-        let counts = self.routes.entry(route.to_owned()).or_default();
-        if latency <= objective {
-            counts.in_time += 1;
-        } else {
-            counts.late += 1;
+    pub(super) fn count_answer(
+        &mut self,
+        (region, route): (&RegionId, &str),
+        latency: Millis,
+        objective: Millis,
+    ) {
+        let route = self.routes.entry(route.to_owned()).or_default();
+        let region = self.regions.entry(region.clone()).or_default();
+        for counts in [route, region] {
+            if latency <= objective {
+                counts.in_time += 1;
+            } else {
+                counts.late += 1;
+            }
         }
         self.latencies_ms.push(latency.0);
     }
 
+    /// Returns the mean worth of the requests of each region's callers.
+    pub fn worth_by_region(&self) -> BTreeMap<&RegionId, f64> {
+        self.regions.iter().map(|(region, counts)| (region, counts.worth())).collect()
+    }
+
     /// Returns the number of requests.
     pub fn requests(&self) -> usize {
         self.routes.values().map(|counts| counts.requests).sum()
--- a/foxtail-lab/src/model/setup.rs
+++ b/foxtail-lab/src/model/setup.rs
@@ -10,8 +10,8 @@
 /// The period of the waves of the request rate.
 const WAVE_PERIOD: Millis = Millis::secs(36);
 
-/// The number of upstreams of a service in each zone of the first, second and third region. Demand
-/// is spread evenly over the regions, slots are not.
+/// The number of upstreams of a service in each zone of the first, second and third region of today's
+/// sites. Demand is spread evenly over the regions, slots are not.
 const UPSTREAMS_PER_ZONE_BY_REGION: [usize; 3] = [1, 2, 3];
 
 /// The site, load and seed of a simulation.
@@ -32,6 +32,8 @@
     pub cached_objects: usize,
     /// The time during which requests arrive.
     pub duration: Millis,
+    /// The number of upstreams of a service in each zone of the first, second and third region.
+    pub upstreams_per_zone: [usize; 3],
     /// The number of entry hosts that callers use in each region.
     pub hosts_per_region: usize,
     /// The seed of arrival times, objects and work times.
@@ -68,6 +70,7 @@
             objects_per_region: 24,
             cached_objects: 25,
             duration: Millis::secs(60),
+            upstreams_per_zone: UPSTREAMS_PER_ZONE_BY_REGION,
             hosts_per_region: 2,
             seed,
         }
@@ -113,9 +116,7 @@
             for (zone, region) in &self.site.zones {
                 let region_index =
                     self.site.regions.iter().position(|known| known == region).unwrap_or(0);
-                for n in 0..UPSTREAMS_PER_ZONE_BY_REGION
-                    [region_index % UPSTREAMS_PER_ZONE_BY_REGION.len()]
-                {
+                for n in 0..self.upstreams_per_zone[region_index % self.upstreams_per_zone.len()] {
                     let id = format!("{}-{zone}-{n}", service.name);
                     all.push(UpstreamSetup {
                         id: id.parse().expect("the names are valid"),
--- a/foxtail-lab/src/model/simulation.rs
+++ b/foxtail-lab/src/model/simulation.rs
@@ -22,6 +22,9 @@
 const INTER_REGION_ROUND_TRIP: Millis = Millis(70);
 const INTRA_REGION_ROUND_TRIP: Millis = Millis(1);
 
+/// How often hosts hear that others are alive.
+const BEAT_INTERVAL: Millis = Millis(400);
+
 /// The interval at which the hosts of a region learn loads under [`Policy::SharedLoad`].
 const LOAD_SHARE_INTERVAL: Millis = Millis(30);
 
@@ -52,6 +55,8 @@
     AnswerAtHost(usize, bool),
     /// The hosts of each region learn the loads of its upstreams.
     ShareLoads,
+    /// All hosts learn that the others are alive.
+    ShareBeats,
 }
 
 struct Request {
@@ -101,6 +106,7 @@
     for demand in 0..simulation.demand.len() {
         simulation.schedule_arrival(demand);
     }
+    simulation.share_beats();
     if policy == Policy::SharedLoad {
         simulation.schedule(LOAD_SHARE_INTERVAL, Event::ShareLoads);
     }
@@ -212,12 +218,28 @@
             Event::WorkDone(request) => self.finish_work(request),
             Event::AnswerAtHost(request, ran) => self.handle_answer(request, ran),
             Event::ShareLoads => self.share_loads(),
+            Event::ShareBeats => self.share_beats(),
+        }
+    }
+
+    /// Lets each host hear of all others, as digests do.
+    fn share_beats(&mut self) {
+        let now = self.now;
+        let digests: Vec<_> =
+            self.hosts.iter_mut().map(|host| host.fleet.own_digest(now)).collect();
+        for host in &mut self.hosts {
+            for digest in &digests {
+                host.fleet.receive(digest, now);
+            }
+        }
+        if now + BEAT_INTERVAL < self.setup.duration {
+            self.schedule(BEAT_INTERVAL, Event::ShareBeats);
         }
     }
 
     fn arrive(&mut self, demand: usize) {
         let region = &self.demand[demand].region;
-        self.results.count_request(&self.demand[demand].route.name);
+        self.results.count_request(region, &self.demand[demand].route.name);
         let local_hosts: Vec<usize> =
             (0..self.hosts.len()).filter(|host| self.hosts[*host].region == *region).collect();
         let host = *local_hosts.choose(&mut self.rng).expect("a region has hosts");
@@ -457,8 +479,10 @@
         self.hosts[host].steering.record_outcome(&report, self.now);
         if ran {
             let latency = self.now.since(first_sent) + self.caller_one_way();
-            self.results.count_answer(&route.name, latency, route.objective);
-            let crossed = self.hosts[host].region != self.upstreams[upstream].setup.region;
+            let region = &self.hosts[host].region;
+            let answered = (region, route.name.as_str());
+            self.results.count_answer(answered, latency, route.objective);
+            let crossed = *region != self.upstreams[upstream].setup.region;
             self.results.cross_region += usize::from(crossed);
             return;
         }
--- a/foxtail-lab/tests/model.rs
+++ b/foxtail-lab/tests/model.rs
@@ -71,3 +71,27 @@
     let (one, other) = (run(&setup, Policy::Steering), run(&setup, Policy::Steering));
     assert_eq!((one.requests(), one.in_time()), (other.requests(), other.in_time()));
 }
+
+/// Returns a site whose first region has a tenth of the upstreams and a third of the callers. Their objects
+/// are far more than its upstreams cache, and fewer than all upstreams do.
+fn lean_region(spec: SiteSpec, load: f64) -> Setup {
+    Setup {
+        upstreams_per_zone: [2, 8, 10],
+        objects_per_region: 240,
+        hosts_per_region: 6,
+        ..heavy_load(spec, load)
+    }
+}
+
+/// The least worth of any region's callers on the heaviest day.
+const MIN_REGION_WORTH: f64 = 0.78;
+
+#[test]
+fn callers_of_a_region_with_few_upstreams_are_served_under_load() {
+    for spec in [tali_selamat(), fondo()] {
+        let results = run(&lean_region(spec, 1.2), Policy::Steering);
+        for (region, worth) in results.worth_by_region() {
+            assert!(worth >= MIN_REGION_WORTH, "{region}: {worth:.3} of {results}");
+        }
+    }
+}
--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -655,6 +655,16 @@
         self.peers.values().filter(|peer| is_alive(peer, region, now)).count()
     }
 
+    /// Returns the number of hosts of each region that are alive.
+    pub(crate) fn alive_by_region(&self, now: Millis) -> BTreeMap<RegionId, usize> {
+        let own_region = &self.own_record().region;
+        let mut counts = BTreeMap::new();
+        for peer in self.peers.values().filter(|peer| is_alive(peer, own_region, now)) {
+            *counts.entry(peer.record.region.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns the hosts that callers in `region` are directed to, those in `zone` first. If the
     /// region has none, these are the entry hosts of all other regions.
     ///
--- a/foxtail-steer/src/lib.rs
+++ b/foxtail-steer/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod relay;
 pub mod rendezvous;
 pub mod retry;
+mod room;
 mod shift;
 mod split;
 pub mod steering;
--- a/foxtail-steer/src/placement.rs
+++ b/foxtail-steer/src/placement.rs
@@ -20,6 +20,7 @@
 use crate::estimate::WorkTimes;
 use crate::fleet::Senders;
 use crate::rendezvous;
+use crate::room;
 use crate::steering::Steering;
 use crate::upstream::Upstream;
 use crate::{Fleet, Route};
@@ -190,8 +191,8 @@
             return Placement::NoUpstream;
         };
         let indices = indices.clone();
+        self.update_capacity(fleet, now);
         let designated = self.designated_upstreams(&indices, req, now);
-        self.update_capacity(now);
         let mut capped_regions = self.regions.clone();
         capped_regions.retain(|region| !self.shift_limiter.allows(region, now));
         let mut senders = fleet.senders(now);
@@ -424,10 +425,29 @@
                 local[1] = local[1].max(score);
             }
         }
+        if let Some((_, remote)) = remote
+            && !self.is_kept_in_region(object, indices, req.route)
+        {
+            return [Some(remote), None];
+        }
         let first = local[0].map(|(_, index)| index);
         let second = remote.map(|(_, index)| index).or(local[1].map(|(_, index)| index));
         [first, second]
     }
+
+    /// Returns whether the upstreams of this region should have `object` cached. Upstreams at `indices` count
+    /// also while they are unhealthy, which hosts do not agree on.
+    fn is_kept_in_region(&self, object: u64, indices: &[usize], route: &Route) -> bool {
+        let (mut slots, mut all_slots) = (0.0, 0.0);
+        for &index in indices.iter().filter(|index| self.can_serve(**index, route)) {
+            let state = &self.upstreams[index];
+            let up_slots = f64::from(state.up.slots);
+            all_slots += up_slots;
+            slots += if state.region == self.options.region { up_slots } else { 0.0 };
+        }
+        let share = room::kept_share(&self.host_counts, &self.options.region, slots, all_slots);
+        room::is_kept(object, share)
+    }
 }
 
 /// Returns the probability that a normally distributed variable with mean 0 and standard deviation
--- a/foxtail-steer/src/steering.rs
+++ b/foxtail-steer/src/steering.rs
@@ -8,10 +8,11 @@
 
 use crate::estimate::{CacheSize, WorkTimes};
 use crate::notice::UnregisteredUpstreams;
+use crate::room::HostCounts;
 use crate::shift::ShiftLimiter;
 use crate::upstream::{Load, Upstream};
 use crate::upstream_state::UpstreamState;
-use crate::{Config, RetryBudget, Route, Split, TokenBucket, retry};
+use crate::{Config, Fleet, RetryBudget, Route, Split, TokenBucket, retry};
 
 pub use crate::placement::{Estimate, Placement, Request};
 
@@ -83,6 +84,8 @@
     pub(crate) rtt_ms: HashMap<ZoneId, f64>,
     pub(crate) shift_limiter: ShiftLimiter,
     capacity_counted_at: Millis,
+    /// The live hosts of each region.
+    pub(crate) host_counts: HostCounts,
     split: Split,
     retry_budget: RetryBudget,
     /// The upstream from which the next digest reports limits on.
@@ -155,6 +158,7 @@
             rtt_ms: HashMap::new(),
             shift_limiter,
             capacity_counted_at: Millis::ZERO,
+            host_counts: HostCounts::new(),
             split: Split::default(),
             retry_budget,
             next_shared_limit: 0,
@@ -357,11 +361,12 @@
     }
 
     /// Counts the slots of each region, at most once per [`CAPACITY_INTERVAL`].
-    pub(crate) fn update_capacity(&mut self, now: Millis) {
+    pub(crate) fn update_capacity(&mut self, fleet: &Fleet, now: Millis) {
         if now.since(self.capacity_counted_at) < CAPACITY_INTERVAL {
             return;
         }
         self.capacity_counted_at = now;
+        self.host_counts = fleet.alive_by_region(now);
         let mut slots: BTreeMap<RegionId, f64> =
             self.options.zones.values().map(|region| (region.clone(), 0.0)).collect();
         for state in &self.upstreams {
--- a/foxtailrouter/tests/memory/main.rs
+++ b/foxtailrouter/tests/memory/main.rs
@@ -219,6 +219,37 @@
     }
 }
 
+impl Peers {
+    /// Lets [`PEERS`] callers send requests that may be repeated one behind the other, without reading a
+    /// response, until their time is over.
+    fn pipeline(&self, addr: SocketAddr) -> JoinSet<()> {
+        let mut peers = JoinSet::new();
+        for n in 0..PEERS {
+            let ended = Arc::clone(&self.ended);
+            let id = format!("pipelined-{n}");
+            let request = Request {
+                method: "GET",
+                host: "svc.example",
+                path: "/read/1",
+                id: &id,
+                object: n as u64,
+                timeout: DEADLINE,
+                body: "",
+            };
+            let requests = request.encode().repeat(100);
+            peers.spawn(async move {
+                let mut stream = TcpStream::connect(addr).await.expect("can't connect");
+                let sending =
+                    async { while stream.write_all(requests.as_bytes()).await.is_ok() {} };
+                // The caller leaves, whether the host takes more or not.
+                tokio::time::timeout(DEADLINE, sending).await.ok();
+                ended.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+        peers
+    }
+}
+
 /// Plays an upstream that sends `filler` without end after `start`.
 async fn play_upstream(what: &str, start: &str, filler: &[u8]) {
     let _one = ONE_AT_A_TIME.lock().await;
@@ -283,6 +314,16 @@
     play_callers("requests with trailers", &format!("{chunked}0\r\n"), b"x-more: more\r\n").await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_pipeline_without_end() {
+    let _one = ONE_AT_A_TIME.lock().await;
+    let mut site = Site::start("pipelines", DEADLINE).await;
+    site.up.set_behavior(Behavior::AnswerOf(100_000));
+    let peers = Peers::default();
+    let pipelining = peers.pipeline(site.host.caller_addr);
+    site.check("pipelined requests", pipelining, &peers.ended).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn hosts_that_send_without_end() {
     let _one = ONE_AT_A_TIME.lock().await;
