fix(steer): small sites keep what they had: 1.8 times the mean of objects, half of the hosts at the start

A region's upstreams keep 1.8 times the mean number of objects for each slot in place of 1.5, and at most half of a region's hosts are entry hosts for requests that nobody has counted.

--- a/foxtail-steer/src/fleet.rs
+++ b/foxtail-steer/src/fleet.rs
@@ -71,6 +71,10 @@
 /// Fewest entry hosts that callers of a region are given, so that one of them may fail.
 const MIN_ENTRY_HOSTS: usize = 2;
 
+/// The largest share of a region's hosts that are entry hosts for requests that nobody has counted. Fleets
+/// bear the loss of many hosts, so the usual rate needs only a part of them.
+const MAX_PREPARED_SHARE: f64 = 0.5;
+
 /// Most entry hosts in one look-up answer.
 const MAX_ENTRY_HOSTS: usize = 64;
 
@@ -673,7 +677,10 @@
     /// connections. The selected hosts are spread over zones, and every host selects the same ones.
     pub fn entry_hosts(&self, region: &RegionId, zone: &ZoneId, now: Millis) -> Vec<&HostRecord> {
         let hosts_in = |region| {
-            let rate = self.demand.rate(region).max(self.counted_rate(region, now));
+            let serving = self.hosts_serving_in(region, now).count();
+            let bearable = serving as f64 * HOST_REQUESTS_PER_S * MAX_PREPARED_SHARE;
+            let prepared = self.demand.rate(region).min(bearable);
+            let rate = prepared.max(self.counted_rate(region, now));
             self.entry_hosts_in(region, rate, now)
         };
         let mut hosts = hosts_in(region);
--- a/foxtail-steer/src/room.rs
+++ b/foxtail-steer/src/room.rs
@@ -12,8 +12,8 @@
 use crate::rendezvous;
 
 /// The most objects that a region's upstreams keep for each slot, relative to the mean of all regions. More
-/// of them evict each other in lean regions; fewer send requests over the links that gain nothing there.
-const MAX_RELATIVE_OBJECTS: f64 = 1.5;
+/// of them evict each other in lean regions; fewer send requests over the links where all objects fit.
+const MAX_RELATIVE_OBJECTS: f64 = 1.8;
 
 /// The number of hosts of each region, which stands for its demand: sites have hosts where their callers are.
 pub(crate) type HostCounts = BTreeMap<RegionId, usize>;
