--- a/foxtail-entry/tests/endless.rs
+++ b/foxtail-entry/tests/endless.rs
@@ -78,3 +78,31 @@
     assert!(began.elapsed() < Duration::from_millis(DEADLINE_MS / 2), "{:?}", began.elapsed());
     host.stop().await;
 }
+
+#[tokio::test]
+async fn empty_lines_count_only_before_an_answer() {
+    let site = TestSite::new();
+    site.configure(7);
+    let up = site.upstream("up-1", "a1").await;
+    let endpoint = site.store_endpoint().await;
+    let host = site.ready_host("h-1", "a1", &endpoint).await;
+    let caller = host.settings().caller;
+    let body = "\r\n".repeat(10_000);
+    // The lines before the answer, and whether it is passed on.
+    for (n, (lines, passed_on)) in [(0, true), (2, true), (2_000, false)].into_iter().enumerate() {
+        let id = format!("r-{n}");
+        let answer = format!(
+            "{}HTTP/1.1 200 OK\r\nfoxtailrouter-request-id: {id}\r\ncontent-length: {}\r\n\r\n{body}",
+            "\r\n".repeat(lines),
+            body.len()
+        );
+        up.queue_behaviors([Behavior::SendAndClose(answer.into_bytes())]);
+        let got = exchange(caller, &request("POST", "/write/1", &id, 1_500, "")).await;
+        if passed_on {
+            assert_eq!((got.status, got.body.len()), (200, body.len()), "{lines} lines");
+        } else {
+            assert_eq!(got.status, 502, "{lines} lines");
+        }
+    }
+    host.stop().await;
+}
