--- a/foxtail-steer/tests/cut_off/main.rs
+++ b/foxtail-steer/tests/cut_off/main.rs
@@ -22,7 +22,7 @@
             let cuts = vec![Cut { from, to: Millis(12_000), manner, affects }];
             let mut scenario = Scenario {
                 hosts,
-                requests_per_s: (6.0 * hosts as f64).min(250.0),
+                requests_per_s: (9.0 * hosts as f64).min(250.0),
                 length: Millis(15_000),
                 cuts,
                 restarts: Vec::new(),
