--- a/review/standin-2/cold.rs
+++ b/review/standin-2/cold.rs
@@ -40,6 +40,7 @@
                 down: Duration::from_secs(3),
                 cold: Duration::from_secs(3),
                 cold_most: MOST_IN_A_SECOND as usize,
+                spoils: 0.0,
             };
             Server::start(&format!("s{n}"), kind, "", &store, record)
         })
--- a/review/standin-2/deadly.rs
+++ b/review/standin-2/deadly.rs
@@ -47,6 +47,7 @@
                 down: Duration::from_secs(3),
                 cold: Duration::from_secs(3),
                 cold_most: usize::MAX,
+                spoils: 0.0,
             };
             Server::start(&format!("s{n}"), kind, "deadly", &store, record)
         })
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod record;
 mod server;
+mod spoil;
 mod store;
 
 use std::path::PathBuf;
@@ -74,6 +75,7 @@
     let verdict = match case.as_str() {
         "deadly" => deadly::run(&setup),
         "cold" => cold::run(&setup),
+        "spoil" => spoil::run(&setup),
         "limit" => limit::run(&setup),
         other => Verdict::NotRun(format!("no case `{other}`")),
     };
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -1,5 +1,6 @@
 //! Servers: slots and a queue, registration and pings, crashes, cold times.
 
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -29,6 +30,8 @@
     pub cold: Duration,
     /// How many requests in one second it bears while it is cold; with one more it crashes.
     pub cold_most: usize,
+    /// The share of its answers in which it spoils some bytes of the head.
+    pub spoils: f64,
 }
 
 /// A request that reached a server.
@@ -68,6 +71,8 @@
     arrivals: Mutex<Vec<Arrival>>,
     health_checks: AtomicU64,
     ended: AtomicBool,
+    answers: AtomicU64,
+    seed: Mutex<u64>,
     record: Arc<Record>,
 }
 
@@ -104,6 +109,8 @@
             arrivals: Mutex::default(),
             health_checks: AtomicU64::new(0),
             ended: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
+            seed: Mutex::new(name.bytes().map(u64::from).sum()),
             record: Arc::clone(record),
         });
         server.register();
@@ -294,9 +301,48 @@
         ];
         headers.extend(limit.map(|per_s| ("server-limit", per_s.to_string())));
         let body = format!("{} ran {id}", self.name);
+        let number = self.answers.fetch_add(1, Ordering::Relaxed);
+        let (now, before) = (number + 1, number);
+        if up && (now as f64 * self.kind.spoils) as u64 > (before as f64 * self.kind.spoils) as u64
+        {
+            return self.spoil(stream, &headers, body.as_bytes());
+        }
         up && write_message(stream, "HTTP/1.1 200 OK", &headers, body.as_bytes()).is_ok()
     }
 
+    /// Sends an answer with two wrong bytes in the lines behind its first one. The connection ends with it.
+    fn spoil(&self, stream: &mut TcpStream, headers: &[(&str, String)], body: &[u8]) -> bool {
+        let lines: Vec<String> =
+            headers.iter().map(|(name, value)| format!("{name}: {value}")).collect();
+        let mut lines = lines.join("\r\n").into_bytes();
+        for _ in 0..2 {
+            let letter = b'a' + (self.random() % 26) as u8;
+            let at = self.random() as usize % lines.len();
+            if !b"\r\n: ".contains(&lines[at]) {
+                lines[at] = letter;
+            }
+        }
+        self.record.line(&format!(
+            "server {} spoils: {}",
+            self.name,
+            String::from_utf8_lossy(&lines).replace("\r\n", " | ")
+        ));
+        let mut text = b"HTTP/1.1 200 OK\r\n".to_vec();
+        text.extend_from_slice(&lines);
+        text.extend_from_slice(format!("\r\ncontent-length: {}\r\n\r\n", body.len()).as_bytes());
+        text.extend_from_slice(body);
+        let _ = stream.write_all(&text);
+        false
+    }
+
+    /// Returns the next of a fixed sequence of numbers that look random.
+    fn random(&self) -> u64 {
+        let mut seed = self.seed.lock().unwrap();
+        *seed =
+            seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        *seed >> 33
+    }
+
     /// Ends all connections, and starts again after a while, cold, under its old id or a new one.
     pub fn crash(self: &Arc<Self>, keeps_id: bool) {
         {
