--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -1,9 +1,11 @@
 //! Clients: each request on a connection of its own, or many on one that is kept.
 
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::http::{read_message, write_message};
+use crate::record::Record;
 
 /// How a request ended for its client.
 #[derive(Clone, Debug)]
@@ -18,14 +20,15 @@
 }
 
 pub struct Client {
+    record: Arc<Record>,
     addr: SocketAddr,
     stream: Option<TcpStream>,
     buf: Vec<u8>,
 }
 
 impl Client {
-    pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, stream: None, buf: Vec::new() }
+    pub fn new(addr: SocketAddr, record: &Arc<Record>) -> Self {
+        Self { record: Arc::clone(record), addr, stream: None, buf: Vec::new() }
     }
 
     pub fn send(
@@ -37,8 +40,11 @@
         deadline: Duration,
     ) -> Outcome {
         let began = Instant::now();
+        self.record.line(&format!("sent {id} {method} {path} to {}", self.addr));
         let answer = self.exchange(method, path, id, key, deadline);
         let took = began.elapsed();
+        let status = answer.as_ref().map_or(0, |answer| answer.status());
+        self.record.line(&format!("answered {id} {status}"));
         match answer {
             Some(answer) => Outcome {
                 status: answer.status(),
--- a/review/standin-2/cold.rs
+++ b/review/standin-2/cold.rs
@@ -67,7 +67,7 @@
             let (lost, record) = (Arc::clone(&lost), Arc::clone(record));
             thread::spawn(move || {
                 thread::sleep(SENDS_EVERY * index as u32 / CLIENTS as u32);
-                let mut client = Client::new(addr);
+                let mut client = Client::new(addr, &record);
                 let mut n = 0;
                 while !ended.load(Ordering::Relaxed) {
                     let began = Instant::now();
--- a/review/standin-2/deadly.rs
+++ b/review/standin-2/deadly.rs
@@ -75,8 +75,9 @@
         .map(|(index, host)| {
             let (addr, ended) = (host.caller, Arc::clone(&ended));
             let (served, others) = (Arc::clone(&served), Arc::clone(&others));
+            let record = Arc::clone(record);
             thread::spawn(move || {
-                let mut client = Client::new(addr);
+                let mut client = Client::new(addr, &record);
                 let mut n = 0;
                 while !ended.load(Ordering::Relaxed) {
                     let (id, path) = (format!("h{index}-{n}"), format!("/read/{}", n % 40));
@@ -112,7 +113,7 @@
             let host = &hosts[sent as usize % hosts.len()];
             let id = format!("deadly-{sent}");
             starts.push((id.clone(), host.started));
-            let outcome = Client::new(host.caller).send(
+            let outcome = Client::new(host.caller, record).send(
                 "GET",
                 "/read/deadly",
                 &id,
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -246,6 +246,7 @@
             state.cold.filter(|(_, until)| now < *until).map(|(since, _)| since)
         };
         let arrival = Arrival { at: now, id: id.clone(), path: path.clone(), cold_since };
+        self.record.line(&format!("{} gets {id}", self.name));
         let in_last_second = {
             let mut arrivals = self.arrivals.lock().unwrap();
             arrivals.push(arrival);
@@ -282,6 +283,7 @@
             self.crash(false);
             return false;
         }
+        self.record.line(&format!("{} runs {id}", self.name));
         let factor = if cold_since.is_some() { 2 } else { 1 };
         thread::sleep(self.kind.work * factor);
         let (up, load, limit) = {
